--- a/src/control/formation.cc
+++ b/src/control/formation.cc
@@ -161,7 +161,15 @@
           replies.push_back(std::move(reply));
           return true;
         },
-        [](const Error&) { return false; });
+        [&](const Error& error) {
+          // Asked again soon: only a new cause is worth a line.
+          if (std::string& last = this->last_causes[member]; last != error.message) {
+            last = error.message;
+            kLog.Info("A replica did not answer while the group is formed.",
+                      {{"node", member}, {"cause", error.message}});
+          }
+          return false;
+        });
   }
   return replies;
 }
--- a/src/control/formation.h
+++ b/src/control/formation.h
@@ -2,6 +2,7 @@
 #define MASTICRILL_CONTROL_FORMATION_H_
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -63,6 +64,8 @@
   std::mutex mutex;
   std::optional<Accepted> accepted;
   std::atomic<bool> done = false;
+  /// Why each replica did not answer last; used by the thread.
+  std::map<NodeId, std::string> last_causes;
   std::unique_ptr<PeriodicThread> thread;
 };
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -90,6 +90,8 @@
   GatewayViewPtr View() const;
   CallerLimits Limits() const;
   bool IsReady() const;
+  /// Refuses new connections from now on: what the listener's queue holds is lost otherwise.
+  void StopAccepting();
   void Serve(const Poco::Net::StreamSocket& socket);
   net::HttpAnswer AnswerStatus(const net::HttpRequest& request) const;
 
@@ -108,11 +110,13 @@
   std::unique_ptr<node::LeaseKeeper> leases;
   std::unique_ptr<ListKeeper> lists;
   std::unique_ptr<Poco::ThreadPool> threads;
+  Poco::Net::ServerSocket listener;
   std::unique_ptr<Poco::Net::TCPServer> server;
   std::string caller_address;
   std::unique_ptr<net::HttpServer> status_server;
   std::mutex stop_mutex;
   bool stopped = false;
+  bool accepting_stopped = false;
 };
 
 Result<void> GatewayServer::State::Start(UpstreamListReader read_list) {
@@ -138,9 +142,9 @@
 
 Result<void> GatewayServer::State::StartServers() {
   try {
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(this->options.caller_address),
-                                         kListenBacklog);
-    this->caller_address = socket.address().toString();
+    this->listener = Poco::Net::ServerSocket(
+        Poco::Net::SocketAddress(this->options.caller_address), kListenBacklog);
+    this->caller_address = this->listener.address().toString();
     this->threads = std::make_unique<Poco::ThreadPool>(
         kMinThreads, this->options.max_connections + 1, kIdleThreadS, kThreadStackBytes);
     Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
@@ -151,7 +155,7 @@
         new ConnectionFactory([this](const Poco::Net::StreamSocket& accepted) {
           this->Serve(accepted);
         }),
-        *this->threads, socket, params);
+        *this->threads, this->listener, params);
     this->server->start();
   } catch (const Poco::Exception& exception) {
     return Fail(ErrorKind::kUnavailable, "Cannot listen on " + this->options.caller_address + " (" +
@@ -254,6 +258,15 @@
          this->leases->Check(this->clock.Now()).valid;
 }
 
+void GatewayServer::State::StopAccepting() {
+  if (this->server == nullptr || this->accepting_stopped) {
+    return;
+  }
+  this->accepting_stopped = true;
+  this->server->stop();
+  this->listener.close();
+}
+
 void GatewayServer::State::Serve(const Poco::Net::StreamSocket& socket) {
   ++this->metrics.connections;
   CallerConnection connection(
@@ -323,6 +336,7 @@
   std::unique_lock wait(mutex);
   if (parts.server != nullptr && parts.View() != nullptr) {
     never.wait_for(wait, parts.options.stop_accepting_after);
+    parts.StopAccepting();
     parts.phase = StopPhase::kClosing;
     while (parts.metrics.connections > 0 &&
            parts.clock.Now() - begin < parts.options.stop_within) {
@@ -330,9 +344,7 @@
     }
   }
   parts.phase = StopPhase::kClosing;
-  if (parts.server != nullptr) {
-    parts.server->stop();
-  }
+  parts.StopAccepting();
   if (parts.lists != nullptr) {
     parts.lists->Stop();
   }
