--- a/src/control/formation.cc
+++ b/src/control/formation.cc
@@ -119,7 +119,6 @@
 
 /// Accepts the membership unless another one was accepted. The caller holds the lock.
 bool Formation::Accept(const std::string& membership) {
-  kLog.Info("DEBUG accept", {{"has", this->accepted.has_value()}, {"same", this->accepted && this->accepted->membership == membership}, {"empty", this->replica.IsEmpty()}, {"names", NamesVoter(membership, this->self)}});
   if (this->accepted) {
     return this->accepted->membership == membership;
   }
@@ -144,8 +143,6 @@
     return kDone;
   }
   const std::vector<net::FormReply> replies = this->AskOthers("");
-  kLog.Info("DEBUG try", {{"replies", replies.size()}});
-  for (const auto& reply : replies) kLog.Info("DEBUG reply", {{"node", reply.node}, {"empty", reply.is_empty}, {"formed", reply.formed}, {"mem", reply.membership.size()}});
   this->done = this->JoinFormed(replies) || this->FormAsFirst(replies);
   return this->done ? kDone : kRetryInterval;
 }
