--- a/src/control/address_book.cc
+++ b/src/control/address_book.cc
@@ -33,6 +33,9 @@
   if (const auto found = this->addresses.find(node); found != this->addresses.end()) {
     return found->second;
   }
+  if (node == this->credentials.self.node) {
+    return std::nullopt;
+  }
   // A group may name its nodes by their addresses, which then survive a restart of all of them.
   const std::size_t colon = node.Value().rfind(':');
   Poco::Net::IPAddress host;
