--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -61,7 +61,8 @@
                          !net::WantsClose(head.headers, head.http_1_1);
   CallerStream caller(this->socket, head, keep_open);
   this->handler(head, body, caller, arrived_at);
-  return caller.CanGoOn();
+  // The head of a long answer may have gone out before the order to stop, without a word of it.
+  return caller.CanGoOn() && this->phase() == StopPhase::kServing;
 }
 
 /// Waits for a request on an idle connection, which ends when this process is stopping.
