--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -63,7 +63,7 @@
   int max_connections = 1500;
   /// After the order to stop: how long new connections are still served, until the balancer in
   /// front has noticed that this node is not ready; and when the process ends at the latest.
-  Duration stop_accepting_after = milliseconds(2500);
+  Duration stop_accepting_after = milliseconds(2200);
   Duration stop_within = milliseconds(7200);
   CallSettings call;
   routing::RolloutPlan rollout;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -10,7 +10,7 @@
 
 constexpr Logger kLog(LogPart::kGateway);
 /// How often an idle connection looks whether this process is stopping.
-constexpr Duration kIdleCheck = milliseconds(1000);
+constexpr Duration kIdleCheck = milliseconds(500);
 /// How long a caller may take for a last answer, and for the end of what it still sends.
 constexpr Duration kLingerTime = milliseconds(500);
 /// The longest pause between two parts of a body.
