--- /dev/null
+++ b/test/gateway/event_splitter_test.cc
@@ -0,0 +1,36 @@
+#include "masticrill/gateway/event_splitter.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace masticrill::gateway {
+namespace {
+
+TEST_CASE("whole events are passed on whatever the pieces, and the rest is kept back") {
+  const std::string whole = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: no id\n\n";
+  const std::string bytes = whole + "id: 3\ndata: c";
+  for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+    EventSplitter splitter;
+    std::string passed;
+    for (std::size_t begin = 0; begin < bytes.size(); begin += piece) {
+      passed += splitter.Feed(std::string_view(bytes).substr(begin, piece));
+    }
+    CHECK(passed == whole);
+    CHECK(splitter.Pending() == "id: 3\ndata: c");
+    CHECK(splitter.LastEventId() == "2");
+    CHECK(splitter.EventCount() == 3);
+  }
+}
+
+TEST_CASE("a stream goes on elsewhere behind the last whole event") {
+  EventSplitter splitter;
+  CHECK(splitter.Feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(splitter.LastEventId() == "1");
+  splitter.DropPending();
+  CHECK(splitter.Feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+  CHECK(splitter.LastEventId() == "2");
+}
+
+}  // namespace
+}  // namespace masticrill::gateway
--- /dev/null
+++ b/test/net/http_message_test.cc
@@ -0,0 +1,126 @@
+#include "masticrill/net/http_message.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "masticrill/common/result.h"
+
+namespace masticrill::net {
+namespace {
+
+std::optional<RequestHead> ReadRequest(const std::string& block) {
+  return HandleErrors(
+      [&]() -> Result<std::optional<RequestHead>> {
+        BOOST_LEAF_AUTO(head, ParseRequestHead(block));
+        return std::optional(std::move(head));
+      },
+      [](const Error&) { return std::optional<RequestHead>(); });
+}
+
+std::optional<AnswerHead> ReadAnswer(const std::string& block) {
+  return HandleErrors(
+      [&]() -> Result<std::optional<AnswerHead>> {
+        BOOST_LEAF_AUTO(head, ParseAnswerHead(block));
+        return std::optional(std::move(head));
+      },
+      [](const Error&) { return std::optional<AnswerHead>(); });
+}
+
+std::optional<BodyFraming> FramingOf(const std::vector<HeaderField>& headers) {
+  return HandleErrors(
+      [&]() -> Result<std::optional<BodyFraming>> {
+        BOOST_LEAF_AUTO(decoder, RequestBody({"POST", "/", true, headers}));
+        return std::optional(decoder.Framing());
+      },
+      [](const Error&) { return std::optional<BodyFraming>(); });
+}
+
+TEST_CASE("a request's head is read as it stands") {
+  const auto head = ReadRequest(
+      "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(12000, 'a') +
+      "\r\nX-Word: =?utf-8?B?aGVsbG8=?=\r\nEmpty:\r\n\r\n");
+  REQUIRE(head);
+  CHECK(head->method == "POST");
+  CHECK(head->target == "/a/b?c=d");
+  CHECK(head->Path() == "/a/b");
+  CHECK(head->http_1_1);
+  CHECK(head->Header("x-long")->size() == 12000);
+  CHECK(head->Header("X-Word") == "=?utf-8?B?aGVsbG8=?=");
+  CHECK(head->Header("empty") == "");
+  CHECK_FALSE(head->Header("absent"));
+}
+
+TEST_CASE("a malformed request head is refused") {
+  const std::vector<std::string> malformed = {
+      "GET /\r\n\r\n",
+      "GET HTTP/1.1\r\n\r\n",
+      "GET  / HTTP/1.1\r\n\r\n",
+      "GET http://x/ HTTP/1.1\r\n\r\n",
+      "GET / HTTP/2.0\r\n\r\n",
+      "G(T / HTTP/1.1\r\n\r\n",
+      "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+      "GET / HTTP/1.1\r\n: no name\r\n\r\n",
+      "GET / HTTP/1.1\r\nSpace : x\r\n\r\n",
+      "GET / HTTP/1.1\r\nA: 1\r\n folded\r\n\r\n",
+      std::string("GET / HTTP/1.1\r\nA: x\0y\r\n\r\n", 27),
+  };
+  for (const std::string& block : malformed) {
+    CAPTURE(block);
+    CHECK_FALSE(ReadRequest(block));
+  }
+}
+
+TEST_CASE("an answer's head is read, and what is none is refused") {
+  const auto head = ReadAnswer("HTTP/1.1 503 Service Unavailable\r\nA: b\r\n\r\n");
+  REQUIRE(head);
+  CHECK(head->status == 503);
+  CHECK(ReadAnswer("HTTP/1.1 200\r\n\r\n")->status == 200);
+  for (const std::string block :
+       {"HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1\r\n\r\n", "garbage\r\n\r\n", "\r\n\r\n",
+        "HTTP/1.1 999 No\r\n\r\n", "HTTP/1.1 099 No\r\n\r\n"}) {
+    CAPTURE(block);
+    CHECK_FALSE(ReadAnswer(block));
+  }
+}
+
+TEST_CASE("a body whose length two readers could read in two ways is refused") {
+  CHECK(FramingOf({}) == BodyFraming::kNone);
+  CHECK(FramingOf({{"Content-Length", "5"}}) == BodyFraming::kLength);
+  CHECK(FramingOf({{"transfer-encoding", "Chunked"}}) == BodyFraming::kChunked);
+  const std::vector<std::vector<HeaderField>> ambiguous = {
+      {{"Content-Length", "5"}, {"Content-Length", "6"}},
+      {{"Content-Length", "5"}, {"Content-Length", "5"}},
+      {{"Content-Length", "5, 6"}},
+      {{"Content-Length", "-1"}},
+      {{"Content-Length", "5x"}},
+      {{"Content-Length", ""}},
+      {{"Content-Length", "5"}, {"Transfer-Encoding", "chunked"}},
+      {{"Transfer-Encoding", "gzip, chunked"}},
+      {{"Transfer-Encoding", "chunked, chunked"}},
+  };
+  for (const auto& headers : ambiguous) {
+    CAPTURE(headers.front().name);
+    CAPTURE(headers.front().value);
+    CHECK_FALSE(FramingOf(headers));
+  }
+}
+
+TEST_CASE("fields that concern one connection are not passed on") {
+  const std::vector<HeaderField> kept = WithoutConnectionFields({{"Connection", "close, X-Hop"},
+                                                                 {"X-Hop", "1"},
+                                                                 {"Keep-Alive", "timeout=5"},
+                                                                 {"Transfer-Encoding", "chunked"},
+                                                                 {"Content-Length", "3"},
+                                                                 {"Upgrade", "h2c"},
+                                                                 {"X-Kept", "2"}});
+  CHECK(kept == std::vector<HeaderField>{{"X-Kept", "2"}});
+  CHECK(WantsClose({{"Connection", "keep-alive, Close"}}, true));
+  CHECK_FALSE(WantsClose({{"Connection", "keep-alive"}}, true));
+  CHECK(WantsClose({}, false));
+}
+
+}  // namespace
+}  // namespace masticrill::net
--- /dev/null
+++ b/test/routing/service_rollout_test.cc
@@ -0,0 +1,52 @@
+#include "masticrill/routing/service_rollout.h"
+
+#include <doctest/doctest.h>
+
+namespace masticrill::routing {
+namespace {
+
+config::ServiceRollout Running(WallTimeMs ordered_at) {
+  return {VersionId("v2"), milliseconds(20'000), ordered_at, config::ServiceRolloutState::kRunning,
+          ""};
+}
+
+TEST_CASE("sessions keep their version for the first half, then move once and never back") {
+  const RolloutPlan plan;
+  double last = 0;
+  for (WallTimeMs now = 90'000; now <= 140'000; now += 50) {
+    const double share = TargetShare(Running(100'000), plan, now);
+    CHECK(share >= last);
+    CHECK(share <= 1);
+    if (now <= 110'000) {
+      CHECK(share == 0);
+    }
+    last = share;
+  }
+  CHECK(last == 1);
+}
+
+TEST_CASE("a candidate on trial gets a small share, and all move before the completion") {
+  const RolloutPlan plan;
+  const auto at = [&](double progress) {
+    return TargetShare(Running(0), plan, static_cast<WallTimeMs>(progress * 20'000));
+  };
+  CHECK(at(0.6) == doctest::Approx(plan.trial_share));
+  CHECK(plan.trial_share <= 0.15);
+  CHECK(at(plan.complete_at) == 1);
+}
+
+TEST_CASE("an ended roll-out leaves one version") {
+  config::ServiceRollout rollout = Running(0);
+  rollout.state = config::ServiceRolloutState::kCompleted;
+  CHECK(TargetShare(rollout, {}, 0) == 1);
+  rollout.state = config::ServiceRolloutState::kRolledBack;
+  CHECK(TargetShare(rollout, {}, 1'000'000) == 0);
+}
+
+TEST_CASE("a clock that runs behind the order's does not count backwards") {
+  CHECK(RolloutProgress(Running(100'000), 99'000) == 0);
+  CHECK(RolloutProgress(Running(100'000), 110'000) == doctest::Approx(0.5));
+}
+
+}  // namespace
+}  // namespace masticrill::routing
