--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -6,8 +6,8 @@
 
 #include "masticrill/common/clock.h"
 #include "masticrill/common/name.h"
-#include "masticrill/routing/service_rollout.h"
 #include "masticrill/gateway/upstream_choice.h"
+#include "masticrill/routing/service_rollout.h"
 
 namespace masticrill::gateway {
 
@@ -35,7 +35,11 @@
   /// When a caller that was refused for want of room comes back.
   milliseconds retry_after{400};
   /// When a caller comes back after a refusal for want of a lease or of a configuration.
-  milliseconds retry_after_no_lease{1000};
+  milliseconds retry_after_no_lease{600};
+  /// How long a request waits for the first lease after the start of this process, as a share of
+  /// the time that its caller has, and at most.
+  double lease_wait_share = 0.25;
+  milliseconds longest_lease_wait{1200};
   /// Attempts beyond the first that one request pays for, and the most that are saved up.
   double retries_per_request = 0.8;
   double retry_balance = 5;
@@ -60,6 +64,8 @@
   Duration list_interval = milliseconds(700);
   /// How often the lease is renewed.
   Duration renew_interval = milliseconds(500);
+  /// After its start a process is expected to get its first lease within this time.
+  Duration first_lease_within = seconds(4);
   int max_connections = 1500;
   /// After the order to stop: how long new connections are still served, until the balancer in
   /// front has noticed that this node is not ready; and when the process ends at the latest.
--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -14,11 +14,11 @@
 #include "masticrill/common/random.h"
 #include "masticrill/config/configuration.h"
 #include "masticrill/gateway/edge_protocol.h"
-#include "masticrill/routing/service_rollout.h"
 #include "masticrill/gateway/route_table.h"
 #include "masticrill/gateway/upstream_choice.h"
 #include "masticrill/gateway/upstream_list.h"
 #include "masticrill/routing/health.h"
+#include "masticrill/routing/service_rollout.h"
 
 namespace masticrill::gateway {
 
--- a/include/masticrill/node/lease_keeper.h
+++ b/include/masticrill/node/lease_keeper.h
@@ -47,6 +47,7 @@
  private:
   void Run();
   void Renew();
+  void NoteRefusal(const std::string& reason);
   bool TakeReply(const net::LeaseReply& reply, config::LeaseRequestId request);
 
   std::shared_ptr<ControlLink> link;
@@ -64,6 +65,8 @@
   bool was_granted = false;
   config::LeaseHolder holder;
   config::NumberedDocument document;
+  /// Why the last request got no lease; empty when it got one. Used by the thread.
+  std::string last_refusal;
   std::thread thread;
 };
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -65,10 +65,9 @@
   return *budget;
 }
 
-CallRunner::CallRunner(const CallParts& parts, GatewayViewPtr view, const net::RequestHead& request,
+CallRunner::CallRunner(const CallParts& parts, const net::RequestHead& request,
                        const std::string& body, CallerStream& caller, TimePoint arrived_at)
     : parts(parts),
-      view(std::move(view)),
       request(request),
       body(body),
       caller(caller),
@@ -90,14 +89,14 @@
 
 /// Checks everything that can be decided without an upstream.
 std::optional<Refusal> CallRunner::Admit() {
+  this->AwaitLease();
   if (this->view == nullptr) {
     return Refusal{RefusalKind::kNoLease, Execution::kNotRun,
                    "This node has no configuration yet. Come back later.",
                    this->parts.settings.retry_after_no_lease};
   }
   const RouteTable& table = *this->view->table;
-  this->route =
-      table.FindRoute(this->request.Header("Host").value_or(""), this->request.Path());
+  this->route = table.FindRoute(this->request.Header("Host").value_or(""), this->request.Path());
   const config::LeaseCheck lease = this->parts.check_lease();
   if (this->route == nullptr) {
     if (!lease.valid) {
@@ -128,6 +127,18 @@
   return std::nullopt;
 }
 
+/// A request that arrives just before the lease waits for it, but only so long that its answer can
+/// still be in time.
+void CallRunner::AwaitLease() {
+  const milliseconds waits =
+      this->facts.time_left.value_or(this->parts.settings.longest_lease_wait);
+  const Duration share = duration_cast<Duration>(std::chrono::duration<double, std::milli>(waits) *
+                                                 this->parts.settings.lease_wait_share);
+  this->parts.await_lease(this->arrived_at +
+                          std::min(share, Duration(this->parts.settings.longest_lease_wait)));
+  this->view = this->parts.view();
+}
+
 /// A key is honoured only while this node can show that its configuration is current.
 std::optional<Refusal> CallRunner::CheckLease() const {
   const config::LeaseCheck lease = this->parts.check_lease();
@@ -204,8 +215,8 @@
   AttemptOrder order;
   order.upstream = upstream.id;
   order.team = this->owner.team;
-  order.time_left = std::max(
-      duration_cast<milliseconds>(this->deadline - this->clock.Now()), milliseconds(1));
+  order.time_left =
+      std::max(duration_cast<milliseconds>(this->deadline - this->clock.Now()), milliseconds(1));
   order.rank = this->owner.rank;
   if (this->facts.any_model && !this->route->models.empty()) {
     order.model = this->route->models.at(this->model_step);
@@ -246,8 +257,8 @@
     }
   }
   const AttemptEnd end =
-      attempt.Start(this->request, this->MakeOrder(pick->upstream), this->body,
-                    this->facts.request, this->caller.Socket(), this->MakeTimes());
+      attempt.Start(this->request, this->MakeOrder(pick->upstream), this->body, this->facts.request,
+                    this->caller.Socket(), this->MakeTimes());
   this->last_end = ToString(end);
   this->tried.insert(pick->upstream.id);
   this->attempts += attempt.HandedOver() ? 1 : 0;
@@ -348,14 +359,14 @@
     this->Judge(attempt, AttemptEnd::kAnswered, false);
     // A second upstream may do better, where a second run is harmless.
     if (this->route->Repeatable() && !this->caller.Begun()) {
-      const routing::RetryDecision decision = routing::DecideRetry(
-          {.repeatable = true,
-           .resumable = this->route->resumable,
-           .attempts_made = this->attempts,
-           .max_attempts = this->route->max_attempts,
-           .now = this->clock.Now(),
-           .deadline = this->deadline},
-          this->parts.budgets.For(this->service));
+      const routing::RetryDecision decision =
+          routing::DecideRetry({.repeatable = true,
+                                .resumable = this->route->resumable,
+                                .attempts_made = this->attempts,
+                                .max_attempts = this->route->max_attempts,
+                                .now = this->clock.Now(),
+                                .deadline = this->deadline},
+                               this->parts.budgets.For(this->service));
       this->parts.metrics.retries.Add(decision.reason);
       if (decision.retry) {
         kLog.Info("An upstream failed the request; it is tried elsewhere.",
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -48,14 +48,19 @@
   GatewayMetrics& metrics;
   /// The lease at this moment.
   std::function<config::LeaseCheck()> check_lease;
+  /// The configuration in force; null while there is none.
+  std::function<GatewayViewPtr()> view;
+  /// Waits until there is a configuration and a lease, at most until then, where one is expected
+  /// soon; returns at once otherwise.
+  std::function<void(TimePoint)> await_lease;
 };
 
 /// Carries one request from its arrival to its end: checks it, chooses model and upstream, makes
 /// the attempts and relays the answer. Used by one thread.
 class CallRunner {
  public:
-  CallRunner(const CallParts& parts, GatewayViewPtr view, const net::RequestHead& request,
-             const std::string& body, CallerStream& caller, TimePoint arrived_at);
+  CallRunner(const CallParts& parts, const net::RequestHead& request, const std::string& body,
+             CallerStream& caller, TimePoint arrived_at);
 
   void Run();
 
@@ -64,6 +69,7 @@
   enum class Next { kStop, kTryAgain };
 
   std::optional<Refusal> Admit();
+  void AwaitLease();
   std::optional<Refusal> CheckLease() const;
   void ChooseService();
   std::optional<UpstreamPick> FindUpstream();
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -57,8 +57,8 @@
     this->RefuseAndClose(part, false);
     return false;
   }
-  const bool keep_open = this->phase() == StopPhase::kServing &&
-                         !net::WantsClose(head.headers, head.http_1_1);
+  const bool keep_open =
+      this->phase() == StopPhase::kServing && !net::WantsClose(head.headers, head.http_1_1);
   CallerStream caller(this->socket, head, keep_open);
   this->handler(head, body, caller, arrived_at);
   // The head of a long answer may have gone out before the order to stop, without a word of it.
@@ -114,8 +114,7 @@
 }
 
 CallerConnection::Part CallerConnection::ReadBody(const CallerLimits& current,
-                                                  const net::RequestHead& head,
-                                                  std::string& body) {
+                                                  const net::RequestHead& head, std::string& body) {
   net::BodyDecoder decoder;
   const bool framed = HandleErrors(
       [&]() -> Result<bool> {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -10,8 +10,8 @@
                  this->answered);
   writer.Counter("masticrill_gateway_escalated_total",
                  "Answers that were dropped for a stronger model's.", this->escalated);
-  writer.Counter("masticrill_gateway_resumed_total",
-                 "Streams that went on at another upstream.", this->resumed);
+  writer.Counter("masticrill_gateway_resumed_total", "Streams that went on at another upstream.",
+                 this->resumed);
   writer.Gauge("masticrill_gateway_in_flight", "Requests in progress.",
                static_cast<double>(this->in_flight.load()));
   writer.Gauge("masticrill_gateway_connections", "Open connections of callers.",
@@ -23,8 +23,8 @@
                       "Decisions on a further attempt, by reason.", "reason", this->retries);
   writer.Summary("masticrill_gateway_first_byte_seconds",
                  "From the arrival of a request to the head of its answer.", this->first_byte);
-  writer.Summary("masticrill_gateway_whole_seconds",
-                 "From the arrival of a request to its end.", this->whole);
+  writer.Summary("masticrill_gateway_whole_seconds", "From the arrival of a request to its end.",
+                 this->whole);
   return writer.Text();
 }
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -38,6 +38,8 @@
 constexpr int kIdleThreadS = 30;
 constexpr int kIncarnationBytes = 8;
 constexpr int kStatusConnections = 8;
+/// Control hosts answer within milliseconds, or another one is asked.
+constexpr milliseconds kConnectTimeout{250};
 constexpr Duration kStopPoll = milliseconds(50);
 
 /// Gives each accepted connection to a function, on a thread of the server.
@@ -47,8 +49,7 @@
 
   explicit ConnectionFactory(Serve serve) : serve(std::move(serve)) {}
 
-  Poco::Net::TCPServerConnection* createConnection(
-      const Poco::Net::StreamSocket& socket) override {
+  Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override {
     return new Connection(socket, this->serve);
   }
 
@@ -77,10 +78,16 @@
                           .rollout = this->options.rollout},
              Random::FromSystem()),
         budgets(this->options.call),
-        parts{this->protocol, this->options.call, this->pool,   this->budgets,
-              this->evidence, this->metrics,      [this] {
-                return this->leases->Check(this->clock.Now());
-              }} {}
+        parts{this->protocol,
+              this->options.call,
+              this->pool,
+              this->budgets,
+              this->evidence,
+              this->metrics,
+              [this] { return this->leases->Check(this->clock.Now()); },
+              [this] { return this->View(); },
+              [this](TimePoint until) { this->AwaitLease(until); }},
+        started_at(this->clock.Now()) {}
 
   Result<void> Start(UpstreamListReader read_list);
   Result<void> StartServers();
@@ -88,6 +95,7 @@
   void ForgetOldEvidence(const config::Configuration& next);
   std::vector<net::RolloutReport> ReportRollouts() const;
   GatewayViewPtr View() const;
+  void AwaitLease(TimePoint until);
   CallerLimits Limits() const;
   bool IsReady() const;
   /// Refuses new connections from now on: what the listener's queue holds is lost otherwise.
@@ -103,7 +111,9 @@
   routing::EvidenceTable evidence;
   GatewayMetrics metrics;
   CallParts parts;
+  TimePoint started_at;
   mutable std::mutex view_mutex;
+  std::condition_variable view_changed;
   GatewayViewPtr view;
   std::atomic<StopPhase> phase = StopPhase::kServing;
   std::shared_ptr<node::ControlLink> link;
@@ -120,11 +130,12 @@
 };
 
 Result<void> GatewayServer::State::Start(UpstreamListReader read_list) {
-  const net::Credentials credentials{
-      {net::NodeRole::kEntry, this->options.node, IncarnationId(SecureRandomHex(kIncarnationBytes))},
-      this->options.shared_secret};
-  this->link = std::make_shared<node::ControlLink>(this->options.control_addresses, credentials,
-                                                   net::ChannelLimits{});
+  const net::Credentials credentials{{net::NodeRole::kEntry, this->options.node,
+                                      IncarnationId(SecureRandomHex(kIncarnationBytes))},
+                                     this->options.shared_secret};
+  this->link =
+      std::make_shared<node::ControlLink>(this->options.control_addresses, credentials,
+                                          net::ChannelLimits{.connect_timeout = kConnectTimeout});
   this->leases = std::make_unique<node::LeaseKeeper>(
       this->link, credentials.self, this->options.shown_address,
       [this](const config::ConfigurationPtr& configuration, TimePoint) {
@@ -142,8 +153,8 @@
 
 Result<void> GatewayServer::State::StartServers() {
   try {
-    this->listener = Poco::Net::ServerSocket(
-        Poco::Net::SocketAddress(this->options.caller_address), kListenBacklog);
+    this->listener = Poco::Net::ServerSocket(Poco::Net::SocketAddress(this->options.caller_address),
+                                             kListenBacklog);
     this->caller_address = this->listener.address().toString();
     this->threads = std::make_unique<Poco::ThreadPool>(
         kMinThreads, this->options.max_connections + 1, kIdleThreadS, kThreadStackBytes);
@@ -152,9 +163,8 @@
     params->setMaxQueued(kListenBacklog);
     params->setThreadIdleTime(Poco::Timespan(kIdleThreadS, 0));
     this->server = std::make_unique<Poco::Net::TCPServer>(
-        new ConnectionFactory([this](const Poco::Net::StreamSocket& accepted) {
-          this->Serve(accepted);
-        }),
+        new ConnectionFactory(
+            [this](const Poco::Net::StreamSocket& accepted) { this->Serve(accepted); }),
         *this->threads, this->listener, params);
     this->server->start();
   } catch (const Poco::Exception& exception) {
@@ -209,18 +219,28 @@
   kLog.Info("Declaration in force.", {{"number", configuration->number},
                                       {"revision", table->revision},
                                       {"routes", table->routes.size()}});
-  const std::scoped_lock lock(this->view_mutex);
-  this->view = std::make_shared<const GatewayView>(GatewayView{configuration, table});
+  {
+    const std::scoped_lock lock(this->view_mutex);
+    this->view = std::make_shared<const GatewayView>(GatewayView{configuration, table});
+  }
+  this->view_changed.notify_all();
+}
+
+/// Waits for the first configuration, which comes with the first lease.
+void GatewayServer::State::AwaitLease(TimePoint until) {
+  std::unique_lock lock(this->view_mutex);
+  const TimePoint expected_by = this->started_at + this->options.first_lease_within;
+  this->view_changed.wait_until(lock, std::min(until, expected_by),
+                                [this] { return this->view != nullptr; });
 }
 
 /// Evidence on a service counts from the order of its roll-out on.
 void GatewayServer::State::ForgetOldEvidence(const config::Configuration& next) {
   const GatewayViewPtr current = this->View();
   for (const auto& [service, rollout] : next.service_rollouts) {
-    const bool known = current != nullptr &&
-                       current->configuration->service_rollouts.contains(service) &&
-                       current->configuration->service_rollouts.at(service).ordered_at ==
-                           rollout.ordered_at;
+    const bool known =
+        current != nullptr && current->configuration->service_rollouts.contains(service) &&
+        current->configuration->service_rollouts.at(service).ordered_at == rollout.ordered_at;
     if (!known) {
       this->evidence.ResetModel(ModelId(service.Value()));
     }
@@ -275,7 +295,7 @@
       [this](const net::RequestHead& head, const std::string& body, CallerStream& caller,
              TimePoint arrived_at) {
         ++this->metrics.in_flight;
-        CallRunner(this->parts, this->View(), head, body, caller, arrived_at).Run();
+        CallRunner(this->parts, head, body, caller, arrived_at).Run();
         --this->metrics.in_flight;
       });
   connection.Run();
@@ -338,8 +358,7 @@
     never.wait_for(wait, parts.options.stop_accepting_after);
     parts.StopAccepting();
     parts.phase = StopPhase::kClosing;
-    while (parts.metrics.connections > 0 &&
-           parts.clock.Now() - begin < parts.options.stop_within) {
+    while (parts.metrics.connections > 0 && parts.clock.Now() - begin < parts.options.stop_within) {
       never.wait_for(wait, kStopPoll);
     }
   }
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -107,8 +107,7 @@
                                      const AttemptTimes& times) {
   net::RequestHead forwarded{request.method, request.target, true,
                              this->protocol.write_attempt(request, order)};
-  if (!body.empty() || request.Header("Content-Length") ||
-      request.Header("Transfer-Encoding")) {
+  if (!body.empty() || request.Header("Content-Length") || request.Header("Transfer-Encoding")) {
     forwarded.headers.push_back({"Content-Length", std::to_string(body.size())});
   }
   forwarded.headers.push_back({"Connection", "close"});
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -16,14 +16,14 @@
 
 /// How a step of an attempt ended.
 enum class AttemptEnd {
-  kAnswered,       // The head, or the next part, of an answer is there.
-  kFinished,       // The answer is whole.
-  kNotConnected,   // Nothing was handed over.
-  kNotRun,         // The upstream states that it did not run the request.
-  kBroken,         // The connection broke, or what came is no answer to this request.
-  kSilent,         // The upstream fell silent, to this request and to all others.
-  kSlow,           // No answer in the time that the request gives one upstream.
-  kTimeout,        // The request's deadline passed.
+  kAnswered,      // The head, or the next part, of an answer is there.
+  kFinished,      // The answer is whole.
+  kNotConnected,  // Nothing was handed over.
+  kNotRun,        // The upstream states that it did not run the request.
+  kBroken,        // The connection broke, or what came is no answer to this request.
+  kSilent,        // The upstream fell silent, to this request and to all others.
+  kSlow,          // No answer in the time that the request gives one upstream.
+  kTimeout,       // The request's deadline passed.
   kCallerLeft,
 };
 
--- a/src/gateway/upstream_choice.cc
+++ b/src/gateway/upstream_choice.cc
@@ -73,9 +73,8 @@
     second += second >= first ? 1 : 0;
   }
   // A local upstream with room is better than two remote ones that happened to be drawn.
-  std::size_t best = Cost(candidates[second], settings) < Cost(candidates[first], settings)
-                         ? second
-                         : first;
+  std::size_t best =
+      Cost(candidates[second], settings) < Cost(candidates[first], settings) ? second : first;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
     if (candidates[index].local &&
         Cost(candidates[index], settings) < Cost(candidates[best], settings)) {
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -170,9 +170,8 @@
   if (found.empty()) {
     return {};
   }
-  std::erase_if(found, [&](const Member* member) {
-    return question.excluded.contains(member->listed.id);
-  });
+  std::erase_if(
+      found, [&](const Member* member) { return question.excluded.contains(member->listed.id); });
   if (found.empty()) {
     return {PickStatus::kAllTried, {}, ChoiceReason::kNone, Duration::zero()};
   }
--- a/src/node/control_link.cc
+++ b/src/node/control_link.cc
@@ -57,7 +57,7 @@
     return;
   }
   this->current = (this->current + 1) % this->clients.size();
-  kLog.Warning("Moved to another control host.",
+  kLog.Debug("Moved to another control host.",
                {{"from", from->Address()}, {"to", this->clients.at(this->current)->Address()}});
 }
 
--- a/src/node/lease_keeper.cc
+++ b/src/node/lease_keeper.cc
@@ -10,7 +10,7 @@
 constexpr Logger kLog(LogPart::kNet);
 constexpr milliseconds kCallTimeout{800};
 /// After a refusal or a failure the next try comes sooner than the next renewal.
-constexpr milliseconds kRetryInterval{200};
+constexpr milliseconds kRetryInterval{100};
 
 }  // namespace
 
@@ -80,19 +80,31 @@
         return this->TakeReply(reply, request_id);
       },
       [&](const Error& error) {
-        kLog.Warning("No lease.", {{"reason", error.message}});
+        this->NoteRefusal(error.message);
         return false;
       });
   const std::lock_guard lock(this->mutex);
   this->was_granted = granted;
 }
 
+/// Says once why there is no lease, however often it is asked for.
+void LeaseKeeper::NoteRefusal(const std::string& reason) {
+  if (this->last_refusal != reason) {
+    kLog.Warning("No lease.", {{"reason", reason}});
+    this->last_refusal = reason;
+  }
+}
+
 bool LeaseKeeper::TakeReply(const net::LeaseReply& reply, config::LeaseRequestId request) {
   if (!reply.granted) {
-    kLog.Warning("No lease.", {{"reason", reply.message}});
+    this->NoteRefusal(reply.message);
     this->link->MoveOn(this->link->Current());
     return false;
   }
+  if (!this->last_refusal.empty()) {
+    kLog.Info("Leases are granted again.", {{"number", reply.number}});
+    this->last_refusal.clear();
+  }
   this->entry_count = std::max<std::uint32_t>(reply.entry_count, 1);
   this->link->Add(reply.control_hosts);
   config::ConfigurationPtr received;
