--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -20,6 +20,9 @@
   /// taken as lost by requests that may go on elsewhere. Engines send a token every few
   /// milliseconds as long as they work at all.
   milliseconds upstream_silence{1200};
+  /// Before its first event an upstream may be silent for this many latency targets, if that is
+  /// longer.
+  double slow_start_factor = 0.75;
   /// How often a waiting request looks for that.
   milliseconds silence_check{200};
   /// A repeatable request without events waits this many times its latency target for an answer
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -225,17 +225,49 @@
   return order;
 }
 
-AttemptTimes CallRunner::MakeTimes() const {
-  AttemptTimes times{this->deadline, this->deadline, this->route->Repeatable()};
-  if (this->route->kind == RouteKind::kIdempotent) {
-    const TimePoint now = this->clock.Now();
-    const std::chrono::duration<double, std::milli> target = this->route->latency_target;
-    times.answer_by =
-        now + duration_cast<Duration>(target * this->parts.settings.slow_answer_factor);
+/// A silent upstream is left only if the request may really go on elsewhere: otherwise a late
+/// answer is better than none.
+AttemptTimes CallRunner::MakeTimes(std::uint32_t attempts_made) {
+  AttemptTimes times{this->deadline, this->deadline, this->parts.settings.upstream_silence, {}};
+  if (!this->route->Repeatable()) {
+    return times;
   }
+  const std::chrono::duration<double, std::milli> target = this->route->latency_target;
+  if (this->route->kind == RouteKind::kIdempotent) {
+    times.answer_by = this->clock.Now() +
+                      duration_cast<Duration>(target * this->parts.settings.slow_answer_factor);
+  } else if (!this->caller.Begun()) {
+    // A long prompt is read before the first event.
+    times.silence = std::max(
+        times.silence, duration_cast<Duration>(target * this->parts.settings.slow_start_factor));
+  }
+  times.may_leave = [this, attempts_made] {
+    if (!this->granted_retry) {
+      const routing::RetryDecision decision =
+          this->TakeRetry(routing::HandOver::kMayHaveRun, attempts_made);
+      if (!decision.retry) {
+        return false;
+      }
+      this->granted_retry = decision;
+    }
+    return true;
+  };
   return times;
 }
 
+routing::RetryDecision CallRunner::TakeRetry(routing::HandOver hand_over,
+                                             std::uint32_t attempts_made) {
+  return routing::DecideRetry({.hand_over = hand_over,
+                               .repeatable = this->route->Repeatable(),
+                               .stream_started = this->caller.Begun(),
+                               .resumable = this->route->resumable,
+                               .attempts_made = attempts_made,
+                               .max_attempts = this->route->max_attempts,
+                               .now = this->clock.Now(),
+                               .deadline = this->deadline},
+                              this->parts.budgets.For(this->service));
+}
+
 CallRunner::Next CallRunner::TryOnce() {
   if (this->clock.Now() >= this->deadline) {
     this->Refuse(this->may_have_run ? RefusalKind::kDeadlineExceeded : RefusalKind::kOverloaded,
@@ -258,7 +290,7 @@
   }
   const AttemptEnd end =
       attempt.Start(this->request, this->MakeOrder(pick->upstream), this->body, this->facts.request,
-                    this->caller.Socket(), this->MakeTimes());
+                    this->caller.Socket(), this->MakeTimes(this->attempts + 1));
   this->last_end = ToString(end);
   this->tried.insert(pick->upstream.id);
   this->attempts += attempt.HandedOver() ? 1 : 0;
@@ -303,17 +335,11 @@
 CallRunner::Next CallRunner::RetryOr(const UpstreamAttempt& attempt, AttemptEnd end,
                                      RefusalKind kind) {
   const bool not_run = end == AttemptEnd::kNotRun;
-  const routing::RetryDecision decision = routing::DecideRetry(
-      {.hand_over = not_run ? routing::HandOver::kFenced : routing::HandOver::kMayHaveRun,
-       .repeatable = this->route->Repeatable(),
-       .stream_started = this->caller.Begun(),
-       .resumable = this->route->resumable,
-       .lease_valid = true,
-       .attempts_made = this->attempts,
-       .max_attempts = this->route->max_attempts,
-       .now = this->clock.Now(),
-       .deadline = this->deadline},
-      this->parts.budgets.For(this->service));
+  const routing::RetryDecision decision =
+      this->granted_retry
+          ? *std::exchange(this->granted_retry, std::nullopt)
+          : this->TakeRetry(not_run ? routing::HandOver::kFenced : routing::HandOver::kMayHaveRun,
+                            this->attempts);
   this->parts.metrics.retries.Add(decision.reason);
   kLog.Info("An attempt failed.", {{"request", this->facts.request},
                                    {"upstream", attempt.Upstream().id},
@@ -360,13 +386,7 @@
     // A second upstream may do better, where a second run is harmless.
     if (this->route->Repeatable() && !this->caller.Begun()) {
       const routing::RetryDecision decision =
-          routing::DecideRetry({.repeatable = true,
-                                .resumable = this->route->resumable,
-                                .attempts_made = this->attempts,
-                                .max_attempts = this->route->max_attempts,
-                                .now = this->clock.Now(),
-                                .deadline = this->deadline},
-                               this->parts.budgets.For(this->service));
+          this->TakeRetry(routing::HandOver::kMayHaveRun, this->attempts);
       this->parts.metrics.retries.Add(decision.reason);
       if (decision.retry) {
         kLog.Info("An upstream failed the request; it is tried elsewhere.",
@@ -406,7 +426,7 @@
 
 CallRunner::Next CallRunner::RelayWhole(UpstreamAttempt& attempt) {
   std::string answer;
-  const AttemptTimes times = this->MakeTimes();
+  const AttemptTimes times = this->MakeTimes(this->attempts);
   AttemptEnd end = AttemptEnd::kAnswered;
   while (end == AttemptEnd::kAnswered && answer.size() <= this->parts.settings.max_answer_bytes) {
     std::string part;
@@ -440,7 +460,7 @@
 }
 
 CallRunner::Next CallRunner::RelayStream(UpstreamAttempt& attempt) {
-  const AttemptTimes times = this->MakeTimes();
+  const AttemptTimes times = this->MakeTimes(this->attempts);
   this->events.DropPending();
   while (true) {
     std::string part;
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -74,7 +74,7 @@
   void ChooseService();
   std::optional<UpstreamPick> FindUpstream();
   AttemptOrder MakeOrder(const ListedUpstream& upstream) const;
-  AttemptTimes MakeTimes() const;
+  AttemptTimes MakeTimes(std::uint32_t attempts_made);
   Next TryOnce();
   Next OnEnd(UpstreamAttempt& attempt, AttemptEnd end);
   Next OnAnswer(UpstreamAttempt& attempt);
@@ -82,6 +82,8 @@
   Next RelayStream(UpstreamAttempt& attempt);
   bool BeginStream(const UpstreamAttempt& attempt);
   bool ShouldEscalate(const UpstreamAttempt& attempt);
+  /// Takes what a further attempt costs, if one is allowed.
+  routing::RetryDecision TakeRetry(routing::HandOver hand_over, std::uint32_t attempts_made);
   /// Tries elsewhere if that is allowed, or ends the request.
   Next RetryOr(const UpstreamAttempt& attempt, AttemptEnd end, RefusalKind kind);
   void Judge(UpstreamAttempt& attempt, AttemptEnd end, bool good);
@@ -109,6 +111,8 @@
   std::uint32_t attempts = 0;
   std::uint32_t connect_failures = 0;
   bool may_have_run = false;
+  /// Granted while the attempt still ran, when its upstream was given up.
+  std::optional<routing::RetryDecision> granted_retry;
   EventSplitter events;
   UpstreamId last_upstream;
   std::string last_end;
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -120,16 +120,31 @@
   return ToAttemptEnd(this->stream->Write(bytes, times.deadline, &caller, true));
 }
 
+/// Whether an upstream that has sent nothing is to be given up, and why.
+std::optional<AttemptEnd> UpstreamAttempt::Overdue(const AttemptTimes& times, TimePoint now) const {
+  if (now >= times.deadline) {
+    return AttemptEnd::kTimeout;
+  }
+  if (!times.may_leave) {
+    return std::nullopt;
+  }
+  if (!this->answer_begun && now >= times.answer_by && times.may_leave()) {
+    return AttemptEnd::kSlow;
+  }
+  if (now - this->heard_at >= times.silence &&
+      this->pool.Silence(this->upstream.id, now) >= times.silence && times.may_leave()) {
+    return AttemptEnd::kSilent;
+  }
+  return std::nullopt;
+}
+
 /// Waits once for bytes, in steps that look for an upstream that fell silent.
 AttemptEnd UpstreamAttempt::FillOnce(const net::SocketStream& caller, const AttemptTimes& times) {
   while (true) {
     TimePoint by = times.deadline;
-    if (times.watch_silence) {
+    if (times.may_leave) {
       by = std::min(by, this->clock.Now() + Duration(this->settings.silence_check));
     }
-    if (!this->answer_begun) {
-      by = std::min(by, times.answer_by);
-    }
     const net::IoEnd end = this->stream->Fill(by, &caller);
     const TimePoint now = this->clock.Now();
     if (end == net::IoEnd::kDone) {
@@ -140,16 +155,8 @@
     if (end != net::IoEnd::kTimeout) {
       return end == net::IoEnd::kClosed ? AttemptEnd::kFinished : ToAttemptEnd(end);
     }
-    if (now >= times.deadline) {
-      return AttemptEnd::kTimeout;
-    }
-    if (!this->answer_begun && now >= times.answer_by) {
-      return AttemptEnd::kSlow;
-    }
-    const Duration limit = this->settings.upstream_silence;
-    if (times.watch_silence && now - this->heard_at >= limit &&
-        this->pool.Silence(this->upstream.id, now) >= limit) {
-      return AttemptEnd::kSilent;
+    if (const std::optional<AttemptEnd> overdue = this->Overdue(times, now)) {
+      return *overdue;
     }
   }
 }
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -1,7 +1,9 @@
 #ifndef MASTICRILL_GATEWAY_UPSTREAM_ATTEMPT_H_
 #define MASTICRILL_GATEWAY_UPSTREAM_ATTEMPT_H_
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,8 +36,11 @@
   TimePoint deadline;
   /// When a request that may go on elsewhere gives the upstream up, if no answer has begun.
   TimePoint answer_by;
-  /// Whether silence of the upstream ends the attempt: only where the request may go on elsewhere.
-  bool watch_silence = false;
+  /// How long an upstream may be silent before it is given up.
+  Duration silence{0};
+  /// Asked before a silent or slow upstream is given up: whether the request may go on elsewhere.
+  /// Empty where it may not; then only the deadline ends the wait.
+  std::function<bool()> may_leave;
 };
 
 /// One request at one upstream, on a connection of its own. Counts as in flight there until it is
@@ -75,6 +80,7 @@
   AttemptEnd ReadOneHead(std::string& block, const net::SocketStream& caller,
                          const AttemptTimes& times);
   AttemptEnd CheckHead(const RequestId& id, const std::string& method);
+  std::optional<AttemptEnd> Overdue(const AttemptTimes& times, TimePoint now) const;
   AttemptEnd FillOnce(const net::SocketStream& caller, const AttemptTimes& times);
 
   ListedUpstream upstream;
