--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -39,6 +39,8 @@
   milliseconds retry_after{400};
   /// When a caller comes back after a refusal for want of a lease or of a configuration.
   milliseconds retry_after_no_lease{600};
+  /// When a caller comes back, at another node, that a stopping node refused.
+  milliseconds retry_after_stopping{20};
   /// How long a request waits for the first lease after the start of this process, as a share of
   /// the time that its caller has, and at most.
   double lease_wait_share = 0.25;
--- a/include/masticrill/gateway/route_table.h
+++ b/include/masticrill/gateway/route_table.h
@@ -85,6 +85,8 @@
   ColdStartLimit cold_start;
   /// Whether its upstreams are model engines.
   bool is_engine = false;
+  /// Tokens in one event of a stream.
+  std::uint32_t tokens_per_event = 1;
 
   friend bool operator==(const ServicePool&, const ServicePool&) = default;
 };
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -82,6 +82,10 @@
     return;
   }
   this->ChooseService();
+  if (const std::optional<Refusal> refusal = this->CheckTimeLeft()) {
+    this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
+    return;
+  }
   this->parts.budgets.For(this->service).OnRequest();
   while (this->TryOnce() == Next::kTryAgain) {
   }
@@ -150,6 +154,23 @@
                  this->parts.settings.retry_after_no_lease};
 }
 
+std::optional<Refusal> CallRunner::CheckTimeLeft() const {
+  const std::optional<TimePoint> ends_at = this->parts.ends_at();
+  const ServicePool* pool = this->view->table->FindService(this->service);
+  if (!ends_at || this->route->kind != RouteKind::kStream || pool == nullptr) {
+    return std::nullopt;
+  }
+  const std::uint64_t events = this->facts.max_output_tokens / pool->tokens_per_event + 1;
+  const Duration needed =
+      Duration(this->route->latency_target) + this->parts.pace.LikelyLongest(this->service, events);
+  if (this->clock.Now() + needed <= *ends_at) {
+    return std::nullopt;
+  }
+  return Refusal{RefusalKind::kStopping, Execution::kNotRun,
+                 "This node is stopping and the stream may take longer. Use another node.",
+                 this->parts.settings.retry_after_stopping};
+}
+
 /// Draws one of the route's services by weight, equally for all requests of a session.
 void CallRunner::ChooseService() {
   std::uint64_t total = 0;
@@ -453,7 +474,8 @@
 }
 
 bool CallRunner::BeginStream(const UpstreamAttempt& attempt) {
-  this->first_byte = this->clock.Now() - this->arrived_at;
+  this->stream_begun_at = this->clock.Now();
+  this->first_byte = this->stream_begun_at - this->arrived_at;
   const net::AnswerHead& head = attempt.Head();
   return this->caller.Begin(head.status, net::WithoutConnectionFields(head.headers),
                             this->deadline);
@@ -477,6 +499,8 @@
     }
     if (end == AttemptEnd::kFinished && this->events.Pending().empty() && this->caller.Begun()) {
       this->Judge(attempt, end, true);
+      this->parts.pace.Add(this->service, this->events.EventCount(),
+                           this->clock.Now() - this->stream_begun_at);
       this->caller.End(this->deadline + kLastWordTime);
       this->Note("answered", attempt.Head().status, "");
       return Next::kStop;
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -20,6 +20,7 @@
 #include "masticrill/gateway/event_splitter.h"
 #include "masticrill/gateway/gateway_settings.h"
 #include "masticrill/gateway/gateway_view.h"
+#include "masticrill/gateway/stream_pace.h"
 #include "masticrill/gateway/upstream_pool.h"
 #include "masticrill/routing/evidence_table.h"
 #include "masticrill/routing/retry.h"
@@ -46,6 +47,7 @@
   RetryBudgets& budgets;
   routing::EvidenceTable& evidence;
   GatewayMetrics& metrics;
+  StreamPace& pace;
   /// The lease at this moment.
   std::function<config::LeaseCheck()> check_lease;
   /// The configuration in force; null while there is none.
@@ -53,6 +55,8 @@
   /// Waits until there is a configuration and a lease, at most until then, where one is expected
   /// soon; returns at once otherwise.
   std::function<void(TimePoint)> await_lease;
+  /// When this process ends at the latest; nothing while it is not stopping.
+  std::function<std::optional<TimePoint>()> ends_at;
 };
 
 /// Carries one request from its arrival to its end: checks it, chooses model and upstream, makes
@@ -71,6 +75,8 @@
   std::optional<Refusal> Admit();
   void AwaitLease();
   std::optional<Refusal> CheckLease() const;
+  /// Refuses a stream that would probably outlast this process, which is stopping.
+  std::optional<Refusal> CheckTimeLeft() const;
   void ChooseService();
   std::optional<UpstreamPick> FindUpstream();
   AttemptOrder MakeOrder(const ListedUpstream& upstream) const;
@@ -117,6 +123,7 @@
   UpstreamId last_upstream;
   std::string last_end;
   std::optional<Duration> first_byte;
+  TimePoint stream_begun_at;
 };
 
 }  // namespace masticrill::gateway
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -84,9 +84,11 @@
               this->budgets,
               this->evidence,
               this->metrics,
+              this->pace,
               [this] { return this->leases->Check(this->clock.Now()); },
               [this] { return this->View(); },
-              [this](TimePoint until) { this->AwaitLease(until); }},
+              [this](TimePoint until) { this->AwaitLease(until); },
+              [this] { return this->EndsAt(); }},
         started_at(this->clock.Now()) {}
 
   Result<void> Start(UpstreamListReader read_list);
@@ -96,6 +98,7 @@
   std::vector<net::RolloutReport> ReportRollouts() const;
   GatewayViewPtr View() const;
   void AwaitLease(TimePoint until);
+  std::optional<TimePoint> EndsAt() const;
   CallerLimits Limits() const;
   bool IsReady() const;
   /// Refuses new connections from now on: what the listener's queue holds is lost otherwise.
@@ -110,11 +113,13 @@
   RetryBudgets budgets;
   routing::EvidenceTable evidence;
   GatewayMetrics metrics;
+  StreamPace pace;
   CallParts parts;
   TimePoint started_at;
   mutable std::mutex view_mutex;
   std::condition_variable view_changed;
   GatewayViewPtr view;
+  std::atomic<TimePoint> stop_begun_at = TimePoint();
   std::atomic<StopPhase> phase = StopPhase::kServing;
   std::shared_ptr<node::ControlLink> link;
   std::unique_ptr<node::LeaseKeeper> leases;
@@ -268,6 +273,13 @@
   return this->view;
 }
 
+std::optional<TimePoint> GatewayServer::State::EndsAt() const {
+  if (this->phase == StopPhase::kServing) {
+    return std::nullopt;
+  }
+  return this->stop_begun_at.load() + this->options.stop_within;
+}
+
 CallerLimits GatewayServer::State::Limits() const {
   const GatewayViewPtr current = this->View();
   return current == nullptr ? CallerLimits{} : current->table->limits;
@@ -350,6 +362,7 @@
   State& parts = *this->state;
   kLog.Info("The gateway stops.", {{"in_flight", parts.metrics.in_flight.load()}});
   const TimePoint begin = parts.clock.Now();
+  parts.stop_begun_at = begin;
   parts.phase = StopPhase::kStopping;
   std::mutex mutex;
   std::condition_variable never;
