--- /dev/null
+++ b/test/gateway/call_runner_test.cc
@@ -0,0 +1,365 @@
+#include "gateway/call_runner.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "fakes/gateway_caller.h"
+#include "fakes/raw_upstream.h"
+
+namespace masticrill::gateway {
+namespace {
+
+using fakes::CallerSaw;
+using fakes::GatewayPath;
+using fakes::RawCall;
+using fakes::RawUpstream;
+
+const std::string kWhole = "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 4\r\n\r\ngood";
+
+std::string Post(const std::string& headers = "Key: good-key\r\n", const std::string& body = "body") {
+  return "POST /path?q=1 HTTP/1.1\r\nHost: host\r\nId: r1\r\nConnection: close\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+Route RouteOf(RouteKind kind, std::uint32_t max_attempts = 1) {
+  Route route;
+  route.kind = kind;
+  route.max_attempts = max_attempts;
+  route.resumable = kind == RouteKind::kStream;
+  return route;
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
+}
+
+const std::string kStreamHead = "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string Chunk(const std::string& data) {
+  constexpr const char* kDigits = "0123456789abcdef";
+  std::string size;
+  for (std::size_t left = data.size(); left > 0; left /= 16) {
+    size.insert(size.begin(), kDigits[left % 16]);
+  }
+  return (size.empty() ? "0" : size) + "\r\n" + data + "\r\n";
+}
+
+/// The body of an answer in chunks, whatever its pieces.
+struct ChunkedBody {
+  std::string text;
+  /// The answer ended as whole.
+  bool whole = false;
+};
+
+ChunkedBody BodyOf(const CallerSaw& saw) {
+  ChunkedBody body;
+  std::string_view bytes = saw.bytes;
+  bytes.remove_prefix(std::min(bytes.size(), bytes.find("\r\n\r\n") + 4));
+  net::BodyDecoder decoder(net::BodyFraming::kChunked);
+  decoder.Feed(bytes, body.text);
+  body.whole = decoder.Done() && bytes.empty();
+  return body;
+}
+
+/// The events of a whole stream in chunks, from the one behind `after` to `last`.
+void WriteEvents(const RawCall& call, int after, int last) {
+  call.Write(kStreamHead);
+  for (int id = after + 1; id <= last; ++id) {
+    call.Write(Chunk(Event(id)));
+  }
+  call.Write(Chunk(""));
+}
+
+TEST_CASE("method, target, body and the caller's fields reach the upstream unchanged") {
+  std::string seen;
+  RawUpstream upstream([&](const RawCall& call) {
+    seen = call.head + call.body;
+    call.Write(kWhole);
+  });
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce));
+  path.SetUpstreams({upstream.Address()});
+  const CallerSaw saw = path.Send(Post("Key: good-key\r\nX-Own: =?utf-8?Q?a?=\r\n"));
+  CHECK(saw.Status() == 200);
+  CHECK(saw.Has("Signed: 1\r\n"));
+  CHECK(saw.bytes.ends_with("\r\n\r\ngood"));
+  CHECK(seen.starts_with("POST /path?q=1 HTTP/1.1\r\n"));
+  CHECK(seen.find("X-Own: =?utf-8?Q?a?=\r\n") != std::string::npos);
+  CHECK(seen.find("For: u0\r\n") != std::string::npos);
+  CHECK(seen.ends_with("\r\n\r\nbody"));
+}
+
+TEST_CASE("an at-most-once request goes to no second upstream after it may have run") {
+  // What the first upstream does with the request, and what the caller must be told.
+  const std::vector<std::pair<std::string, int>> cases = {
+      {"", 502},                                                                // closed
+      {"HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 4\r\n\r\ngo", 502},     // cut
+      {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood", 502},                // unsigned
+      {"HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r2\r\nContent-Length: 4\r\n\r\ngood", 502},  // crossed
+      {"garbage garbage garbage\r\n\r\n", 502},
+      {"HTTP/1.1 503 Full\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n", 502},     // may have run
+      {"HTTP/1.1 429 Slow\r\nContent-Length: 0\r\n\r\n", 502},
+      {"HTTP/1.1 500 Bad\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx", 500},
+      {"HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx", 502},
+  };
+  for (const auto& [answer, status] : cases) {
+    CAPTURE(answer);
+    RawUpstream first([&](const RawCall& call) { call.Write(answer); });
+    RawUpstream second([](const RawCall& call) { call.Write(kWhole); });
+    GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 3));
+    path.SetUpstreams({first.Address(), second.Address()});
+    const CallerSaw saw = path.Send(Post());
+    CHECK(saw.Status() == status);
+    CHECK(first.Calls() == 1);
+    CHECK(second.Calls() == 0);
+  }
+}
+
+TEST_CASE("an at-most-once request that an upstream refused unrun may be tried elsewhere") {
+  RawUpstream first([](const RawCall& call) {
+    call.Write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  RawUpstream second([](const RawCall& call) { call.Write(kWhole); });
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 2));
+  path.SetUpstreams({first.Address(), second.Address()});
+  CHECK(path.Send(Post()).Status() == 200);
+
+  GatewayPath single(RouteOf(RouteKind::kAtMostOnce, 1));
+  single.SetUpstreams({first.Address(), second.Address()});
+  const CallerSaw refused = single.Send(Post());
+  CHECK(refused.Status() == 503);
+  CHECK(refused.Has("Retry-After: 0."));
+  CHECK(refused.Has("\"not_run\":\"true\""));
+}
+
+TEST_CASE("an idempotent request is tried elsewhere after any failure, as often as its route says") {
+  RawUpstream first([](const RawCall& call) {
+    call.Write("HTTP/1.1 500 Bad\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx");
+  });
+  RawUpstream second([](const RawCall&) {});
+  RawUpstream third([](const RawCall& call) { call.Write(kWhole); });
+  GatewayPath path(RouteOf(RouteKind::kIdempotent, 3));
+  path.SetUpstreams({first.Address(), second.Address(), third.Address()});
+  CHECK(path.Send(Post()).Status() == 200);
+  CHECK(third.Calls() == 1);
+
+  GatewayPath twice(RouteOf(RouteKind::kIdempotent, 1));
+  twice.SetUpstreams({second.Address(), third.Address()});
+  CHECK(twice.Send(Post()).Status() == 502);
+  CHECK(third.Calls() == 1);
+}
+
+TEST_CASE("an upstream that cannot be reached costs no attempt") {
+  RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
+  std::string closed;
+  {
+    const RawUpstream gone([](const RawCall&) {});
+    closed = gone.Address();
+  }
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 1));
+  path.SetUpstreams({closed, upstream.Address()});
+  CHECK(path.Send(Post()).Status() == 200);
+}
+
+TEST_CASE("an answer until the close is whole when it ends in order, and not when it is reset") {
+  const std::string head = "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n";
+  RawUpstream in_order([&](const RawCall& call) { call.Write(head + "good"); });
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce));
+  path.SetUpstreams({in_order.Address()});
+  CHECK(path.Send(Post()).bytes.ends_with("\r\n\r\ngood"));
+
+  RawUpstream reset([&](const RawCall& call) {
+    call.Write(head + "goo");
+    call.socket.Close(true);
+  });
+  GatewayPath other(RouteOf(RouteKind::kAtMostOnce));
+  other.SetUpstreams({reset.Address()});
+  CHECK(other.Send(Post()).Status() == 502);
+}
+
+TEST_CASE("a stream is passed on event by event and ends whole") {
+  RawUpstream upstream([](const RawCall& call) { WriteEvents(call, 0, 3); });
+  GatewayPath path(RouteOf(RouteKind::kStream));
+  path.SetUpstreams({upstream.Address()});
+  const CallerSaw saw = path.Send(Post());
+  CHECK(saw.Status() == 200);
+  CHECK(BodyOf(saw).text == Event(1) + Event(2) + Event(3));
+  CHECK(BodyOf(saw).whole);
+}
+
+TEST_CASE("a stream that breaks inside an event goes on elsewhere behind the last whole one") {
+  RawUpstream first([](const RawCall& call) {
+    call.Write(kStreamHead + Chunk(Event(1)) + Chunk(Event(2) + "id: 3\nda"));
+  });
+  std::string after;
+  RawUpstream second([&](const RawCall& call) {
+    after = call.head;
+    WriteEvents(call, 2, 4);
+  });
+  GatewayPath path(RouteOf(RouteKind::kStream, 2));
+  path.SetUpstreams({first.Address(), second.Address()});
+  const CallerSaw saw = path.Send(Post());
+  CHECK(after.find("After: 2\r\n") != std::string::npos);
+  CHECK(BodyOf(saw).text == Event(1) + Event(2) + Event(3) + Event(4));
+  CHECK(BodyOf(saw).whole);
+}
+
+TEST_CASE("a stream that cannot go on does not look whole") {
+  RawUpstream upstream([](const RawCall& call) { call.Write(kStreamHead + Chunk(Event(1))); });
+  Route route = RouteOf(RouteKind::kStream, 3);
+  route.resumable = false;
+  GatewayPath path(route);
+  path.SetUpstreams({upstream.Address(), upstream.Address()});
+  const CallerSaw saw = path.Send(Post());
+  CHECK(BodyOf(saw).text == Event(1));
+  CHECK_FALSE(BodyOf(saw).whole);
+  CHECK(upstream.Calls() == 1);
+}
+
+TEST_CASE("an answer of an unsure model is dropped for the strongest one's, unseen by the caller") {
+  std::vector<std::string> heads;
+  bool closed = false;
+  RawUpstream upstream([&](const RawCall& call) {
+    heads.push_back(call.head);
+    if (call.Has("Use-Model: small")) {
+      call.Write("HTTP/1.1 200 OK\r\nSigned: 1\r\nSure: 0.2\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                 Chunk("id: 1\ndata: wrong\n\n"));
+      closed = call.AwaitClose();
+      return;
+    }
+    call.Write("HTTP/1.1 200 OK\r\nSigned: 1\r\nSure: 0.9\r\nTransfer-Encoding: chunked\r\n\r\n" +
+               Chunk(Event(1)) + Chunk(""));
+  });
+  Route route = RouteOf(RouteKind::kStream, 3);
+  route.models = {ModelId("small"), ModelId("middle"), ModelId("large")};
+  GatewayPath path(route);
+  path.SetUpstreams({upstream.Address()});
+  const CallerSaw saw = path.Send(Post("Key: good-key\r\nModel: any\r\n"));
+  REQUIRE(heads.size() == 2);
+  CHECK(heads[1].find("Use-Model: large") != std::string::npos);
+  CHECK(BodyOf(saw).text == Event(1));
+  CHECK(BodyOf(saw).whole);
+  CHECK(closed);
+}
+
+TEST_CASE("when the caller leaves, the upstream's connection ends") {
+  std::atomic<bool> left = false;
+  RawUpstream upstream([&](const RawCall& call) {
+    call.Write(kStreamHead + Chunk(Event(1)));
+    left = call.AwaitClose();
+  });
+  GatewayPath path(RouteOf(RouteKind::kStream, 3));
+  path.SetUpstreams({upstream.Address()});
+  {
+    const auto caller = path.Connect();
+    caller->Write(Post(), SystemClock().Now() + seconds(10));
+    caller->Fill(SystemClock().Now() + seconds(10));
+  }
+  const TimePoint end = SystemClock().Now() + seconds(30);
+  while (!left && SystemClock().Now() < end) {
+    std::this_thread::yield();
+  }
+  CHECK(left);
+  CHECK(upstream.Calls() == 1);
+}
+
+TEST_CASE("keys: an unknown one is refused, and none is honoured without a lease") {
+  RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce));
+  path.SetUpstreams({upstream.Address()});
+  CHECK(path.Send(Post("Key: bad\r\n")).Status() == 401);
+  CHECK(path.Send(Post("")).Status() == 401);
+  path.lease_valid = false;
+  const CallerSaw refused = path.Send(Post());
+  CHECK(refused.Status() == 503);
+  CHECK(refused.Has("Retry-After: "));
+  CHECK(upstream.Calls() == 0);
+}
+
+TEST_CASE("no route: 404 with a lease; without one nobody can tell") {
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce));
+  const std::string request =
+      "GET /x HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n";
+  CHECK(path.Send(request).Status() == 404);
+  path.lease_valid = false;
+  CHECK(path.Send(request).Status() == 503);
+}
+
+TEST_CASE("the deadline that the upstream gets is what is left of the caller's and the route's") {
+  std::string head;
+  RawUpstream upstream([&](const RawCall& call) {
+    head = call.head;
+    call.Write(kWhole);
+  });
+  Route route = RouteOf(RouteKind::kAtMostOnce);
+  route.timeout = milliseconds(700);
+  GatewayPath path(route);
+  path.SetUpstreams({upstream.Address()});
+  path.Send(Post("Key: good-key\r\nWait-Ms: 9000\r\n"));
+  const std::size_t place = head.find("Left-Ms: ");
+  REQUIRE(place != std::string::npos);
+  CHECK(std::stol(head.substr(place + 9)) <= 700);
+}
+
+TEST_CASE("an upstream without an answer: 504 at the route's timeout, not before") {
+  RawUpstream upstream([](const RawCall& call) { call.AwaitClose(); });
+  Route route = RouteOf(RouteKind::kAtMostOnce, 3);
+  route.timeout = milliseconds(150);
+  GatewayPath path(route);
+  path.SetUpstreams({upstream.Address(), upstream.Address()});
+  CHECK(path.Send(Post()).Status() == 504);
+  CHECK(upstream.Calls() == 1);
+}
+
+TEST_CASE("a silent upstream is left while another attempt is allowed, and kept when none is") {
+  // Pattern: model workers go dark with streams in progress.
+  RawUpstream dark([](const RawCall& call) {
+    call.Write(kStreamHead + Chunk(Event(1)));
+    call.AwaitClose();
+  });
+  RawUpstream light([](const RawCall& call) { WriteEvents(call, 1, 2); });
+  Route route = RouteOf(RouteKind::kStream, 2);
+  GatewayPath path(route);
+  path.settings.upstream_silence = milliseconds(100);
+  path.settings.silence_check = milliseconds(20);
+  path.SetUpstreams({dark.Address(), light.Address()});
+  const CallerSaw moved = path.Send(Post());
+  CHECK(BodyOf(moved).text == Event(1) + Event(2));
+  CHECK(BodyOf(moved).whole);
+
+  // The same upstream takes its time, and the route allows no second attempt.
+  RawUpstream slow([&](const RawCall& call) {
+    call.Write(kStreamHead + Chunk(Event(1)));
+    const TimePoint until = SystemClock().Now() + milliseconds(400);
+    while (call.socket.Fill(until) == net::IoEnd::kDone) {
+    }
+    call.Write(Chunk(Event(2)) + Chunk(""));
+  });
+  GatewayPath single(RouteOf(RouteKind::kStream, 1));
+  single.settings.upstream_silence = milliseconds(100);
+  single.settings.silence_check = milliseconds(20);
+  single.SetUpstreams({slow.Address(), light.Address()});
+  const CallerSaw kept = single.Send(Post());
+  CHECK(BodyOf(kept).text == Event(1) + Event(2));
+  CHECK(BodyOf(kept).whole);
+}
+
+TEST_CASE("a stopping node refuses a stream that would outlast it, as not run") {
+  RawUpstream upstream([](const RawCall& call) { WriteEvents(call, 0, 2); });
+  Route route = RouteOf(RouteKind::kStream, 2);
+  route.latency_target = milliseconds(100);
+  GatewayPath path(route);
+  path.SetUpstreams({upstream.Address()});
+  path.pace.Add(fakes::kService, 11, seconds(1));
+  path.phase = StopPhase::kStopping;
+  path.ends_at = SystemClock().Now() + seconds(60);
+  CHECK(path.Send(Post("Key: good-key\r\nTokens: 100\r\n")).Status() == 200);
+  const CallerSaw refused = path.Send(Post("Key: good-key\r\nTokens: 1000\r\n"));
+  CHECK(refused.Status() == 503);
+  CHECK(refused.Has("Retry-After: 0.02"));
+  CHECK(upstream.Calls() == 1);
+}
+
+}  // namespace
+}  // namespace masticrill::gateway
