--- a/include/masticrill/consensus/driver_types.h
+++ b/include/masticrill/consensus/driver_types.h
@@ -38,6 +38,9 @@
   std::size_t max_queued_bytes = std::size_t{32} << 20U;
   /// Messages that wait for the driver's next turn. Further ones are dropped, as if lost.
   std::size_t max_queued_messages = 8192;
+  /// Committed commands are applied for this long at a time; in between the replica hears its peers
+  /// and they hear it. Well below the heartbeat interval.
+  Duration apply_slice = milliseconds(20);
   /// A snapshot is taken when the commands applied since the last one exceed either limit.
   std::size_t snapshot_after_entries = 100'000;
   std::size_t snapshot_after_bytes = std::size_t{64} << 20U;
--- a/include/masticrill/consensus/replica_driver.h
+++ b/include/masticrill/consensus/replica_driver.h
@@ -129,6 +129,9 @@
   /// Blocks until something was queued, at most for the time given.
   void WaitForWork(Duration limit) {
     std::unique_lock lock(this->mutex);
+    if (!this->applied_all) {
+      return;
+    }
     this->work_arrived.wait_for(lock, limit, [&] { return !this->queue.Empty(); });
   }
 
@@ -224,6 +227,8 @@
   std::optional<Replica> replica;
   Pending pending;
   Index applied = 0;
+  /// Nothing that is committed waits to be applied. Used by the driving thread.
+  bool applied_all = true;
   std::size_t entries_since_snapshot = 0;
   std::size_t bytes_since_snapshot = 0;
   std::uint64_t next_id = 1;
--- a/include/masticrill/consensus/replica_driver_inl.h
+++ b/include/masticrill/consensus/replica_driver_inl.h
@@ -22,8 +22,10 @@
     this->FailQueue(std::move(taken));
     return;
   }
-  this->Step(TickEvent{});
+  // What arrived while the last turn took long counts before the time that has passed: else a leader
+  // would step down with its quorum's answers unread.
   this->StepQueue(std::move(taken));
+  this->Step(TickEvent{});
   const std::optional<Error> error = HandleErrors(
       [&]() -> Result<std::optional<Error>> {
         BOOST_LEAF_CHECK(this->Flush());
@@ -139,11 +141,17 @@
 
 template <storage::LogStorage S, Transport T, Clock C, StateMachine M>
 void ReplicaDriver<S, T, C, M>::ApplyCommitted() {
+  const TimePoint slice_end = this->clock.Now() + this->options.apply_slice;
   while (this->applied < this->replica->Commit()) {
+    if (this->clock.Now() >= slice_end) {
+      this->applied_all = false;
+      return;
+    }
     const LogEntry& entry = this->replica->Log().At(this->applied + 1);
     this->ApplyEntry(entry);
     this->applied = entry.index;
   }
+  this->applied_all = true;
 }
 
 template <storage::LogStorage S, Transport T, Clock C, StateMachine M>
--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -10,6 +10,7 @@
 #include "masticrill/common/name.h"
 #include "masticrill/control/operator_access.h"
 #include "masticrill/net/http_server.h"
+#include "masticrill/state/replicated_state.h"
 
 namespace masticrill::control {
 
@@ -78,6 +79,8 @@
   int max_rpc_connections = 1200;
   int max_http_connections = 64;
   ControlTimings timings = {};
+  /// Equal on all replicas of a group.
+  state::Limits state_limits = {};
 };
 
 }  // namespace masticrill::control
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -52,6 +52,7 @@
 struct ControlServer::State {
   explicit State(const ControlOptions& options)
       : options(options),
+        replicated(options.state_limits),
         nodes(options.node),
         addresses(options.peers, MakeCredentials(options)),
         reply_lanes(std::make_shared<WorkerLanes>(kReplyLanes)) {}
--- a/test/consensus/driver_test.cc
+++ b/test/consensus/driver_test.cc
@@ -23,7 +23,13 @@
 /// A list of the commands applied.
 struct ListMachine {
   std::vector<std::string> commands;
+  /// Passes while a command is applied.
+  Duration cost{0};
+  ManualClock* clock = nullptr;
   std::string Apply(Index, const std::string& command) {
+    if (this->clock != nullptr) {
+      this->clock->now += this->cost;
+    }
     this->commands.push_back(command);
     return "applied " + command;
   }
@@ -197,6 +203,25 @@
   }
 }
 
+TEST_CASE("after a restart of all, a long log that is slow to apply costs no second election") {
+  Drivers drivers(3);
+  for (int number = 0; number < 40; ++number) {
+    drivers.Propose(drivers.Leader(), "c" + std::to_string(number));
+  }
+  for (auto& [name, host] : drivers.hosts) {
+    drivers.Start(name);
+    host.machine.clock = &drivers.clock;
+    host.machine.cost = milliseconds(60);
+  }
+  drivers.Run(seconds(4));
+  const Term term = drivers.Leader().driver->Status().replica.term;
+  drivers.Run(seconds(20));
+  CHECK(drivers.Leader().driver->Status().replica.term == term);
+  for (auto& [name, host] : drivers.hosts) {
+    CHECK(host.machine.commands.size() == 40);
+  }
+}
+
 TEST_CASE("a proposal at a leader that loses its quorum has an unknown outcome") {
   Drivers drivers(3);
   Host& stale = drivers.Leader();
