--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #ifndef MASTICRILL_GATEWAY_GATEWAY_SETTINGS_H_
 #define MASTICRILL_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -48,8 +49,10 @@
   /// Attempts beyond the first that one request pays for, and the most that are saved up.
   double retries_per_request = 0.8;
   double retry_balance = 5;
-  /// An answer whose model is less sure than this, from 0 to 1, is dropped for a stronger one.
-  double confidence_target = 0.5;
+  /// An answer whose model is less sure than this, from 0 to 1, is dropped for a stronger one: by
+  /// the rank of the request's route, the last for all further ranks. What matters most is worth the
+  /// price of a strong model at a smaller doubt.
+  std::array<double, 3> confidence_targets = {0.75, 0.6, 0.4};
 };
 
 /// What a gateway is started with.
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -434,11 +434,16 @@
   return this->RelayWhole(attempt);
 }
 
+double CallRunner::ConfidenceTarget() const {
+  const auto& targets = this->parts.settings.confidence_targets;
+  return targets.at(std::min<std::size_t>(this->route->rank, targets.size() - 1));
+}
+
 /// Whether the answer is dropped for that of a stronger model. The caller has none of it yet.
 bool CallRunner::ShouldEscalate(const UpstreamAttempt& attempt) {
   const std::optional<double> confidence = attempt.Facts().confidence;
   if (!this->facts.any_model || this->model_step + 1 >= this->route->models.size() || !confidence ||
-      *confidence >= this->parts.settings.confidence_target ||
+      *confidence >= this->ConfidenceTarget() ||
       this->attempts >= this->route->max_attempts) {
     return false;
   }
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -87,6 +87,7 @@
   Next RelayWhole(UpstreamAttempt& attempt);
   Next RelayStream(UpstreamAttempt& attempt);
   bool BeginStream(const UpstreamAttempt& attempt);
+  double ConfidenceTarget() const;
   bool ShouldEscalate(const UpstreamAttempt& attempt);
   /// Takes what a further attempt costs, if one is allowed.
   routing::RetryDecision TakeRetry(routing::HandOver hand_over, std::uint32_t attempts_made);
