--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -52,7 +52,7 @@
   /// An answer whose model is less sure than this, from 0 to 1, is dropped for a stronger one: by
   /// the rank of the request's route, the last for all further ranks. What matters most is worth the
   /// price of a strong model at a smaller doubt.
-  std::array<double, 3> confidence_targets = {0.85, 0.7, 0.3};
+  std::array<double, 3> confidence_targets = {0.65, 0.55, 0.5};
 };
 
 /// What a gateway is started with.
