--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -50,8 +50,8 @@
   double retries_per_request = 0.8;
   double retry_balance = 5;
   /// An answer whose model is less sure than this, from 0 to 1, is dropped for a stronger one: by
-  /// the rank of the request's route, the last for all further ranks. What matters most is worth the
-  /// price of a strong model at a smaller doubt.
+  /// the rank of the request's route, the last for all further ranks. What matters most is worth
+  /// the price of a strong model at a smaller doubt.
   std::array<double, 3> confidence_targets = {0.65, 0.55, 0.5};
 };
 
@@ -67,6 +67,8 @@
   std::vector<std::string> control_addresses;
   /// The own address that control hosts show; need not be reachable.
   std::string shown_address;
+  /// IP:PORT for load notices of other gateways over UDP; empty for none.
+  std::string load_address;
   std::string shared_secret;
   /// How often the list of upstreams is read.
   Duration list_interval = milliseconds(700);
--- a/include/masticrill/gateway/route_table.h
+++ b/include/masticrill/gateway/route_table.h
@@ -87,6 +87,11 @@
   bool is_engine = false;
   /// Tokens in one event of a stream.
   std::uint32_t tokens_per_event = 1;
+  /// The cost of a token of each model, in any unit that all share.
+  std::map<ModelId, double> model_costs;
+
+  /// The cost of a model against the dearest one, above 0 and at most 1; 1 where it is not known.
+  double RelativeCost(const ModelId& model) const;
 
   friend bool operator==(const ServicePool&, const ServicePool&) = default;
 };
--- a/include/masticrill/gateway/upstream_choice.h
+++ b/include/masticrill/gateway/upstream_choice.h
@@ -13,13 +13,22 @@
 
 namespace masticrill::gateway {
 
+/// How much a request asks of an upstream, in prompt tokens of the strongest model; for a plain
+/// service each request counts as one.
+struct WorkEstimate {
+  /// What the prompt shares with other requests. An upstream that keeps it need not read it again.
+  double shared = 0;
+  /// What only this request has.
+  double own = 1;
+
+  friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
+};
+
 /// An upstream that may take the request, as the choice sees it.
 struct Candidate {
   UpstreamId id;
-  /// Requests that run or wait there, as far as is known.
+  /// The work that waits or runs there, of all hosts as far as is known.
   double load = 0;
-  /// Requests that it runs at once; 0 when it is not known.
-  std::uint32_t slots = 0;
   /// In the failure domain of this host.
   bool local = false;
 
@@ -27,8 +36,8 @@
 };
 
 enum class ChoiceReason {
-  kCachedPrompt,  // The upstream that keeps the prompt's shared parts.
-  kLessLoaded,    // The upstream with the most room.
+  kCachedPrompt,  // An upstream that keeps the prompt's shared parts.
+  kLessLoaded,    // The upstream with the least work.
   kNone,          // No upstream may take the request.
 };
 
@@ -38,12 +47,11 @@
 std::string_view ToString(ChoiceReason reason);
 
 struct ChoiceSettings {
-  /// The load over the mean of all candidates, as a factor and a sum, up to which an upstream gets
-  /// the requests whose prompt it keeps. Consistent hashing with bounded loads uses the same form.
-  double affinity_load_factor = 1.25;
-  double affinity_load_slack = 4;
-  /// Requests that an upstream of another failure domain must be less loaded by to be taken.
-  double remote_penalty = 1;
+  /// The part of the shared work that the key's second upstream saves, to which its requests go
+  /// when the first one is loaded.
+  double second_saves = 0.5;
+  /// What a request costs more in another failure domain, as a share of its work.
+  double remote_penalty = 0.05;
 
   friend bool operator==(const ChoiceSettings&, const ChoiceSettings&) = default;
 };
@@ -52,16 +60,19 @@
   /// The place among the candidates; nothing when there are none.
   std::optional<std::size_t> index;
   ChoiceReason reason = ChoiceReason::kNone;
+  /// The work that the upstream is expected to have with the request.
+  double work = 0;
 
   friend bool operator==(const UpstreamDecision&, const UpstreamDecision&) = default;
 };
 
-/// Chooses an upstream. With an affinity key every host prefers the same upstream for equal keys,
-/// by rendezvous hashing, as long as its load is bounded. Otherwise the less loaded of two drawn
-/// ones is taken, so that hosts with equal reports do not all choose the same one. Pure.
+/// Chooses the upstream at which the request's work is done first: the work that waits there and
+/// what the request adds. By rendezvous hashing of the affinity key every host expects the shared
+/// part of equal prompts at the same two upstreams. Ties are broken by lot, so that hosts with
+/// equal views do not all choose the same one. Pure.
 UpstreamDecision ChooseUpstream(const std::vector<Candidate>& candidates,
-                                std::string_view affinity_key, const ChoiceSettings& settings,
-                                Random& random);
+                                std::string_view affinity_key, const WorkEstimate& work,
+                                const ChoiceSettings& settings, Random& random);
 
 }  // namespace masticrill::gateway
 
--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -35,8 +35,12 @@
   ChoiceSettings choice = {};
   routing::RolloutPlan rollout = {};
   routing::HealthSettings health = {};
-  /// How long a load report is believed, counted up with this host's own requests since.
-  Duration report_lifetime = seconds(2);
+  /// How long an upstream's own report of waiting requests is believed.
+  Duration report_lifetime = milliseconds(500);
+  /// How long another host's work is believed: a few of its notices.
+  Duration others_lifetime = milliseconds(800);
+  /// What a running stream slows an upstream down by, as work.
+  double running_work = 60;
 };
 
 /// For which request an upstream is sought.
@@ -46,6 +50,7 @@
   std::set<UpstreamId> excluded;
   /// Requests with equal keys prefer the same upstream; empty for none.
   std::string affinity_key;
+  WorkEstimate work;
   /// Requests with equal keys move to a new version at the same time; empty for none.
   std::string session_key;
 };
@@ -62,10 +67,27 @@
   PickStatus status = PickStatus::kNoUpstream;
   ListedUpstream upstream;
   ChoiceReason reason = ChoiceReason::kNone;
+  /// What was counted as waiting there, for OnStarted.
+  double work = 0;
   /// When there is room at a cold upstream again, with kColdLimit.
   Duration retry_after{0};
 };
 
+/// The work of one host at one upstream.
+struct UpstreamWork {
+  UpstreamId upstream;
+  /// Work that has not begun to answer.
+  double waiting = 0;
+  /// Requests whose answers have begun.
+  std::uint32_t running = 0;
+
+  friend bool operator==(const UpstreamWork&, const UpstreamWork&) = default;
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->upstream, this->waiting, this->running);
+  }
+};
+
 /// How an attempt at an upstream ended, as far as its health is concerned.
 enum class AttemptVerdict { kGood, kBad, kNeutral };
 
@@ -83,7 +105,15 @@
 
   /// Finds an upstream and counts the request as in flight there until Release.
   UpstreamPick Pick(const UpstreamQuestion& question, TimePoint now, WallTimeMs wall_now);
-  void Release(const UpstreamId& upstream, AttemptVerdict verdict, TimePoint now);
+  /// The answer has begun: the work that Pick counted is done.
+  void OnStarted(const UpstreamId& upstream, double work);
+  /// Ends what Pick began; `work` is what OnStarted was not called for.
+  void Release(const UpstreamId& upstream, double work, AttemptVerdict verdict, TimePoint now);
+
+  /// This host's work at all upstreams where it has any.
+  std::vector<UpstreamWork> OwnWork() const;
+  /// Another host's work, which replaces what it told before.
+  void SetOthersWork(const NodeId& host, std::vector<UpstreamWork> work, TimePoint now);
 
   void OnLoad(const UpstreamId& upstream, const LoadReport& report, TimePoint now);
   void OnCold(const UpstreamId& upstream, milliseconds cold_left, TimePoint now);
@@ -101,10 +131,14 @@
     ListedUpstream listed;
     bool present = true;
     std::uint32_t in_flight = 0;
+    /// Of those, requests whose answers have begun.
+    std::uint32_t running = 0;
+    double waiting_work = 0;
+    /// The same of all other hosts together.
+    double others_work = 0;
     routing::UpstreamHealth health;
     LoadReport report;
     TimePoint reported_at;
-    std::uint32_t in_flight_at_report = 0;
     TimePoint cold_until;
     double cold_tokens = 0;
     TimePoint cold_filled_at;
@@ -114,6 +148,8 @@
   void OnRestart(Member& member, TimePoint now);
   bool MayTakeWork(const Member& member, const UpstreamQuestion& question) const;
   double EstimatedLoad(const Member& member, TimePoint now) const;
+  double RunningWork(const ServiceId& service) const;
+  void SumOthersWork(TimePoint now);
   bool TakeColdToken(Member& member, TimePoint now, bool take);
   std::vector<Member*> FilterByVersion(std::vector<Member*> members,
                                        const UpstreamQuestion& question, WallTimeMs wall_now);
@@ -126,6 +162,11 @@
   std::uint32_t entry_count = 1;
   bool has_list = false;
   std::map<UpstreamId, Member> members;
+  struct OthersWork {
+    std::vector<UpstreamWork> work;
+    TimePoint told_at;
+  };
+  std::map<NodeId, OthersWork> others;
 };
 
 }  // namespace masticrill::gateway
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -42,11 +42,13 @@
   std::uint64_t started_at_ms = 0;
   /// On the roll-outs that run.
   std::vector<RolloutReport> rollouts = {};
+  /// IP:PORT at which the node takes load notices of other entries; empty where it takes none.
+  std::string load_address = {};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->known_number, this->address,
-            this->started_at_ms, this->rollouts);
+            this->started_at_ms, this->rollouts, this->load_address);
   }
 };
 
@@ -63,12 +65,14 @@
   /// The entries that hold leases; they share limits that bind all of them together.
   std::uint32_t entry_count = 0;
   /// IP:PORT of the control hosts that take part in the group now, as far as is known.
-  std::vector<std::string> control_hosts;
+  std::vector<std::string> control_hosts = {};
+  /// Where the entries that hold leases take load notices.
+  std::vector<std::string> load_addresses = {};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->granted, this->length_ms, this->number, this->delta, this->message,
-            this->entry_count, this->control_hosts);
+            this->entry_count, this->control_hosts, this->load_addresses);
   }
 };
 
@@ -167,13 +171,15 @@
   NodeId control_host;
   /// On the roll-outs that run.
   std::vector<RolloutReport> rollouts = {};
+  std::string load_address = {};
 
   friend bool operator==(const NodeReport&, const NodeReport&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->started_at_ms, this->address,
-            this->known_number, this->age_ms, this->control_host, this->rollouts);
+            this->known_number, this->age_ms, this->control_host, this->rollouts,
+            this->load_address);
   }
 };
 
--- a/include/masticrill/net/socket_stream.h
+++ b/include/masticrill/net/socket_stream.h
@@ -16,11 +16,11 @@
 /// How an operation on a connection ended.
 enum class IoEnd {
   kDone,
-  kClosed,        // The peer ended its side in order.
-  kReset,         // The connection broke.
+  kClosed,  // The peer ended its side in order.
+  kReset,   // The connection broke.
   kTimeout,
-  kWatchedLeft,   // The watched connection was closed by its peer meanwhile.
-  kReadable,      // A write stopped because the peer had sent something.
+  kWatchedLeft,  // The watched connection was closed by its peer meanwhile.
+  kReadable,     // A write stopped because the peer had sent something.
 };
 
 /// A TCP connection with a read buffer, whose operations end at a deadline. An operation may watch
--- a/include/masticrill/node/lease_keeper.h
+++ b/include/masticrill/node/lease_keeper.h
@@ -29,7 +29,7 @@
 
   LeaseKeeper(std::shared_ptr<ControlLink> link, net::Identity self, std::string address,
               LeaseHandler on_lease, Duration renew_interval = config::kLeaseRenewInterval,
-              RolloutReporter report_rollouts = {});
+              RolloutReporter report_rollouts = {}, std::string load_address = {});
   ~LeaseKeeper();
   LeaseKeeper(const LeaseKeeper&) = delete;
   LeaseKeeper& operator=(const LeaseKeeper&) = delete;
@@ -41,6 +41,9 @@
   /// The entries that held leases when this node's was last renewed, this one among them.
   std::uint32_t EntryCount() const { return this->entry_count; }
 
+  /// Where the other entries take load notices, as of then.
+  std::vector<std::string> LoadAddresses() const;
+
   /// Ends the thread. The lease runs out by itself.
   void Stop();
 
@@ -56,6 +59,8 @@
   LeaseHandler on_lease;
   Duration renew_interval;
   RolloutReporter report_rollouts;
+  std::string load_address;
+  std::vector<std::string> load_addresses;
   std::atomic<std::uint32_t> entry_count = 1;
   SystemClock clock;
   std::uint64_t started_at_ms;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -99,15 +99,15 @@
   this->proposer =
       std::make_unique<Proposer>(*this->replica, this->addresses, this->options.timings);
   this->leases = std::make_unique<LeaseService>(*this->replica, this->replicated, this->nodes);
-  this->access = std::make_unique<CommittedAccess>(this->options, *this->replica,
-                                                   this->replicated, *this->proposer);
-  this->upkeep = std::make_unique<Upkeep>(this->options, *this->replica, this->replicated,
-                                          *this->proposer, *this->members, *this->fleet,
-                                          this->addresses, *this->leases);
+  this->access = std::make_unique<CommittedAccess>(this->options, *this->replica, this->replicated,
+                                                   *this->proposer);
+  this->upkeep =
+      std::make_unique<Upkeep>(this->options, *this->replica, this->replicated, *this->proposer,
+                               *this->members, *this->fleet, this->addresses, *this->leases);
   this->rollouts = std::make_unique<RolloutKeeper>(*this->replica, this->replicated, *this->fleet,
                                                    *this->access);
-  this->joiner = std::make_unique<Joiner>(this->options, *this->replica, this->addresses,
-                                          *this->formation);
+  this->joiner =
+      std::make_unique<Joiner>(this->options, *this->replica, this->addresses, *this->formation);
   return this->StartServers();
 }
 
@@ -140,21 +140,20 @@
                       },
                       [](const std::shared_ptr<net::Channel>&) {}));
   this->rpc_server = std::move(rpc_started);
-  BOOST_LEAF_AUTO(http_started, net::HttpServer::Start(
-                                    {.address = this->options.http_address,
-                                     .max_connections = this->options.max_http_connections},
-                                    [this](const net::HttpRequest& request,
-                                           net::HttpResponder& responder) {
-                                      responder.SendWhole(this->AnswerOperator(request));
-                                    }));
+  BOOST_LEAF_AUTO(http_started,
+                  net::HttpServer::Start(
+                      {.address = this->options.http_address,
+                       .max_connections = this->options.max_http_connections},
+                      [this](const net::HttpRequest& request, net::HttpResponder& responder) {
+                        responder.SendWhole(this->AnswerOperator(request));
+                      }));
   this->http_server = std::move(http_started);
   return {};
 }
 
 net::HttpAnswer ControlServer::State::AnswerOperator(const net::HttpRequest& request) {
-  return this->options.operator_frontend
-             ? this->options.operator_frontend(request, *this->access)
-             : this->api->Handle(request);
+  return this->options.operator_frontend ? this->options.operator_frontend(request, *this->access)
+                                         : this->api->Handle(request);
 }
 
 /// Waits until another replica leads, where there is one.
--- a/src/control/lease_service.cc
+++ b/src/control/lease_service.cc
@@ -76,7 +76,8 @@
           .delta = std::nullopt,
           .message = MessageFor(decision),
           .entry_count = 0,
-          .control_hosts = {}};
+          .control_hosts = {},
+          .load_addresses = {}};
 }
 
 net::LeaseReply LeaseService::Decide(const net::LeaseRequest& request,
@@ -109,11 +110,13 @@
                         .delta = std::nullopt,
                         .message = "",
                         .entry_count = 0,
-                        .control_hosts = {}};
+                        .control_hosts = {},
+                        .load_addresses = {}};
   {
     const std::scoped_lock lock(this->fleet_mutex);
     reply.entry_count = this->fleet.entry_count;
     reply.control_hosts = this->fleet.control_hosts;
+    reply.load_addresses = this->fleet.load_addresses;
   }
   if (request.known_number != number) {
     reply.delta = this->state.DeltaFrom(request.known_number);
--- a/src/control/lease_service.h
+++ b/src/control/lease_service.h
@@ -37,6 +37,8 @@
   std::uint32_t entry_count = 0;
   /// IP:PORT of the control hosts of the group.
   std::vector<std::string> control_hosts;
+  /// Where entries take load notices.
+  std::vector<std::string> load_addresses;
 };
 
 /// Grants configuration leases to nodes. The evidence of the leader's quorum is a linearizable read
--- a/src/control/node_registry.cc
+++ b/src/control/node_registry.cc
@@ -43,7 +43,8 @@
                          .known_number = seen.request.known_number,
                          .age_ms = duration_cast<milliseconds>(now - seen.at).count(),
                          .control_host = this->control_host,
-                         .rollouts = seen.request.rollouts});
+                         .rollouts = seen.request.rollouts,
+                         .load_address = seen.request.load_address});
     }
   }
   return reports;
--- a/src/control/operator_access.cc
+++ b/src/control/operator_access.cc
@@ -74,14 +74,13 @@
     if (!change.merge_patch) {
       return {true, {}};
     }
-    const CommitOutcome outcome =
-        this->proposer.ProposeAndWait({state::EncodeCommand(state::PatchConfiguration{
-            .patch_id = state::PatchId(SecureRandomHex(kPatchIdBytes)),
-            .expected_number = current->number,
-            .merge_patch = *change.merge_patch,
-            .author = OperatorId(author),
-            .reason = reason,
-            .at = this->clock.WallNow()})});
+    const CommitOutcome outcome = this->proposer.ProposeAndWait({state::EncodeCommand(
+        state::PatchConfiguration{.patch_id = state::PatchId(SecureRandomHex(kPatchIdBytes)),
+                                  .expected_number = current->number,
+                                  .merge_patch = *change.merge_patch,
+                                  .author = OperatorId(author),
+                                  .reason = reason,
+                                  .at = this->clock.WallNow()})});
     if (outcome.end != ProposalEnd::kCommitted) {
       return {false, ToError(outcome.end)};
     }
@@ -103,7 +102,9 @@
           }
           return Fail(ErrorKind::kUnavailable, result.message);
         },
-        [](const Error& error) { return std::optional(ChangeOutcome{false, error}); });
+        [](const Error& error) {
+          return std::optional(ChangeOutcome{false, error});
+        });
     if (ended) {
       return *std::move(ended);
     }
--- a/src/control/rollout_keeper.cc
+++ b/src/control/rollout_keeper.cc
@@ -64,11 +64,9 @@
 
 RolloutKeeper::RolloutKeeper(ReplicaRunner& replica, const state::ReplicatedState& state,
                              FleetView& fleet, OperatorAccess& access)
-    : replica(replica),
-      state(state),
-      fleet(fleet),
-      access(access),
-      thread([this] { return this->Work(); }) {}
+    : replica(replica), state(state), fleet(fleet), access(access), thread([this] {
+        return this->Work();
+      }) {}
 
 Duration RolloutKeeper::Work() {
   if (this->replica.Status().replica.role != consensus::Role::kLeader) {
@@ -87,9 +85,8 @@
     if (rollout.state != config::ServiceRolloutState::kRunning) {
       continue;
     }
-    const RolloutJudgement judgement =
-        JudgeServiceRollout(rollout, JoinEvidence(reports, service, rollout.target), this->plan,
-                            this->clock.WallNow());
+    const RolloutJudgement judgement = JudgeServiceRollout(
+        rollout, JoinEvidence(reports, service, rollout.target), this->plan, this->clock.WallNow());
     if (judgement.verdict != RolloutVerdict::kGoOn) {
       this->End(service, rollout, judgement);
     }
--- a/src/control/upkeep.cc
+++ b/src/control/upkeep.cc
@@ -83,13 +83,19 @@
   const std::int64_t lease_ms = duration_cast<milliseconds>(config::kLeaseLength).count();
   for (const net::NodeReport& report : LatestStarts(reports)) {
     const bool holds_lease = report.age_ms <= lease_ms;
-    facts.entry_count += report.role == net::NodeRole::kEntry && holds_lease ? 1 : 0;
+    if (report.role != net::NodeRole::kEntry || !holds_lease) {
+      continue;
+    }
+    ++facts.entry_count;
+    if (!report.load_address.empty()) {
+      facts.load_addresses.push_back(report.load_address);
+    }
   }
   const consensus::Membership membership = this->replica.Status().replica.membership;
   for (const consensus::ReplicaId& voter : membership.voters) {
     const bool is_self = voter.node == this->options.node;
-    if (const auto address = is_self ? std::optional(this->options.rpc_address)
-                                     : this->addresses.Find(voter.node)) {
+    if (const auto address =
+            is_self ? std::optional(this->options.rpc_address) : this->addresses.Find(voter.node)) {
       facts.control_hosts.push_back(*address);
     }
   }
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -200,12 +200,31 @@
   return this->arrived_at + duration_cast<Duration>(target * factor);
 }
 
+/// The prompt's tokens, weighed by what the model costs against the strongest one: a strong model
+/// takes more of an engine's time.
+WorkEstimate CallRunner::EstimateWork() const {
+  const ServicePool* pool = this->view->table->FindService(this->service);
+  if (pool == nullptr || !pool->is_engine) {
+    return {0, 1};
+  }
+  double weight = 1;
+  if (this->facts.any_model && !this->route->models.empty()) {
+    weight = pool->RelativeCost(this->route->models.at(this->model_step));
+  }
+  double shared = 0;
+  for (std::size_t index = 0; index + 1 < this->facts.prompt.size(); ++index) {
+    shared += static_cast<double>(this->facts.prompt[index].tokens);
+  }
+  const double own = std::max(static_cast<double>(this->facts.prompt_tokens) - shared, 1.0);
+  return {shared * weight, own * weight};
+}
+
 /// Finds an upstream, waiting a little where only cold ones are left. Ends the request if there is
 /// none.
 std::optional<UpstreamPick> CallRunner::FindUpstream() {
   const UpstreamQuestion question{this->service, this->tried,
                                   this->route->sticky ? SharedPart(this->facts.prompt) : "",
-                                  this->SessionKey()};
+                                  this->EstimateWork(), this->SessionKey()};
   const TimePoint wait_until =
       std::min(this->deadline, this->LatencyBound(this->parts.settings.cold_wait_share));
   while (true) {
@@ -300,8 +319,7 @@
     return Next::kStop;
   }
   this->last_upstream = pick->upstream.id;
-  UpstreamAttempt attempt(pick->upstream, this->parts.protocol, this->parts.pool,
-                          this->parts.settings);
+  UpstreamAttempt attempt(*pick, this->parts.protocol, this->parts.pool, this->parts.settings);
   if (!this->owner.team.Empty()) {
     // The lease may have run out while the request waited.
     if (const std::optional<Refusal> refusal = this->CheckLease()) {
@@ -443,8 +461,7 @@
 bool CallRunner::ShouldEscalate(const UpstreamAttempt& attempt) {
   const std::optional<double> confidence = attempt.Facts().confidence;
   if (!this->facts.any_model || this->model_step + 1 >= this->route->models.size() || !confidence ||
-      *confidence >= this->ConfidenceTarget() ||
-      this->attempts >= this->route->max_attempts) {
+      *confidence >= this->ConfidenceTarget() || this->attempts >= this->route->max_attempts) {
     return false;
   }
   return this->parts.budgets.For(this->service).TryTake();
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -78,6 +78,7 @@
   /// Refuses a stream that would probably outlast this process, which is stopping.
   std::optional<Refusal> CheckTimeLeft() const;
   void ChooseService();
+  WorkEstimate EstimateWork() const;
   std::optional<UpstreamPick> FindUpstream();
   AttemptOrder MakeOrder(const ListedUpstream& upstream) const;
   AttemptTimes MakeTimes(std::uint32_t attempts_made);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -18,6 +18,7 @@
 #include "gateway/call_runner.h"
 #include "gateway/caller_connection.h"
 #include "gateway/list_keeper.h"
+#include "gateway/load_exchange.h"
 #include "masticrill/common/log.h"
 #include "masticrill/common/random.h"
 #include "masticrill/gateway/gateway_view.h"
@@ -124,6 +125,7 @@
   std::shared_ptr<node::ControlLink> link;
   std::unique_ptr<node::LeaseKeeper> leases;
   std::unique_ptr<ListKeeper> lists;
+  std::unique_ptr<LoadExchange> loads;
   std::unique_ptr<Poco::ThreadPool> threads;
   Poco::Net::ServerSocket listener;
   std::unique_ptr<Poco::Net::TCPServer> server;
@@ -146,13 +148,22 @@
       [this](const config::ConfigurationPtr& configuration, TimePoint) {
         this->OnLease(configuration);
       },
-      this->options.renew_interval, [this] { return this->ReportRollouts(); });
+      this->options.renew_interval, [this] { return this->ReportRollouts(); },
+      this->options.load_address);
   this->lists = std::make_unique<ListKeeper>(
       [this, read_list = std::move(read_list)] {
         this->pool.SetEntryCount(this->leases->EntryCount());
         return read_list();
       },
       this->pool, this->options.list_interval);
+  if (!this->options.load_address.empty()) {
+    BOOST_LEAF_ASSIGN(
+        this->loads,
+        LoadExchange::Start({.node = this->options.node,
+                             .address = this->options.load_address,
+                             .shared_secret = this->options.shared_secret},
+                            this->pool, [this] { return this->leases->LoadAddresses(); }));
+  }
   return this->StartServers();
 }
 
@@ -377,6 +388,9 @@
   }
   parts.phase = StopPhase::kClosing;
   parts.StopAccepting();
+  if (parts.loads != nullptr) {
+    parts.loads->Stop();
+  }
   if (parts.lists != nullptr) {
     parts.lists->Stop();
   }
--- /dev/null
+++ b/src/gateway/load_exchange.cc
@@ -0,0 +1,174 @@
+#include "gateway/load_exchange.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+#include "masticrill/common/codec.h"
+#include "masticrill/common/hash.h"
+#include "masticrill/common/log.h"
+
+namespace masticrill::gateway {
+namespace {
+
+constexpr Logger kLog(LogPart::kGateway);
+constexpr std::size_t kMaxDatagramBytes = 60'000;
+/// Hexadecimal digits of the signature in front of each notice.
+constexpr std::size_t kTagBytes = 16;
+
+std::string TagOf(std::string_view payload, const std::string& shared_secret) {
+  return HmacSha256Hex(shared_secret, payload).substr(0, kTagBytes);
+}
+
+}  // namespace
+
+std::string EncodeNotice(const LoadNotice& notice, const std::string& shared_secret) {
+  const std::string payload = EncodeBytes(notice);
+  return TagOf(payload, shared_secret) + payload;
+}
+
+Result<LoadNotice> DecodeNotice(const std::string& datagram, const std::string& shared_secret) {
+  if (datagram.size() < kTagBytes) {
+    return Fail(ErrorKind::kMalformedMessage, "The datagram is too short for a load notice.");
+  }
+  const std::string payload = datagram.substr(kTagBytes);
+  if (!ConstantTimeEqual(datagram.substr(0, kTagBytes), TagOf(payload, shared_secret))) {
+    return Fail(ErrorKind::kUnauthenticated,
+                "The sender of a load notice does not know the shared secret.");
+  }
+  return DecodeBytes<LoadNotice>(payload);
+}
+
+std::vector<std::string> ChoosePeers(const std::string& own_address,
+                                     std::vector<std::string> addresses, std::size_t count) {
+  std::erase(addresses, own_address);
+  std::sort(addresses.begin(), addresses.end(), [&](const auto& left, const auto& right) {
+    return Hash64(own_address + "|" + left) < Hash64(own_address + "|" + right);
+  });
+  addresses.resize(std::min(addresses.size(), count));
+  return addresses;
+}
+
+struct LoadExchange::State {
+  State(LoadExchangeOptions options, UpstreamPool& pool, PeerSource peers)
+      : options(std::move(options)), pool(pool), peers(std::move(peers)) {}
+
+  void Run();
+  void Receive();
+  void Tell();
+
+  LoadExchangeOptions options;
+  UpstreamPool& pool;
+  PeerSource peers;
+  SystemClock clock;
+  Poco::Net::DatagramSocket socket;
+  std::uint64_t sequence = 0;
+  std::map<NodeId, std::uint64_t> last_sequences;
+  bool had_work = false;
+  bool refused_noted = false;
+  std::atomic<bool> stopped = false;
+  std::thread thread;
+};
+
+/// Hears others until the next notice is due.
+void LoadExchange::State::Run() {
+  TimePoint next = this->clock.Now();
+  while (!this->stopped) {
+    const TimePoint now = this->clock.Now();
+    if (now >= next) {
+      this->Tell();
+      next = now + this->options.interval;
+      continue;
+    }
+    try {
+      const auto wait = duration_cast<microseconds>(next - now).count();
+      if (this->socket.poll(Poco::Timespan(wait), Poco::Net::Socket::SELECT_READ)) {
+        this->Receive();
+      }
+    } catch (const Poco::Exception& exception) {
+      // A datagram to a port without a process comes back as an error.
+      kLog.Debug("Load notices cannot be received.", {{"cause", exception.displayText()}});
+    }
+  }
+}
+
+void LoadExchange::State::Receive() {
+  std::string datagram(kMaxDatagramBytes, '\0');
+  Poco::Net::SocketAddress sender;
+  const int size =
+      this->socket.receiveFrom(datagram.data(), static_cast<int>(datagram.size()), sender);
+  datagram.resize(static_cast<std::size_t>(std::max(size, 0)));
+  HandleErrors(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(notice, DecodeNotice(datagram, this->options.shared_secret));
+        std::uint64_t& last = this->last_sequences[notice.sender];
+        if (notice.sequence <= last) {
+          return false;
+        }
+        last = notice.sequence;
+        this->pool.SetOthersWork(notice.sender, std::move(notice.work), this->clock.Now());
+        return true;
+      },
+      [&](const Error& error) {
+        if (!std::exchange(this->refused_noted, true)) {
+          kLog.Warning("A load notice was refused.",
+                       {{"sender", sender.toString()}, {"cause", error.message}});
+        }
+        return false;
+      });
+}
+
+/// Sends what this host has in progress; once more, empty, after the last of it has ended.
+void LoadExchange::State::Tell() {
+  LoadNotice notice{this->options.node, ++this->sequence, this->pool.OwnWork()};
+  if (notice.work.empty() && !std::exchange(this->had_work, false)) {
+    return;
+  }
+  this->had_work = !notice.work.empty();
+  const std::string datagram = EncodeNotice(notice, this->options.shared_secret);
+  for (const std::string& peer :
+       ChoosePeers(this->options.address, this->peers(), this->options.max_peers)) {
+    try {
+      this->socket.sendTo(datagram.data(), static_cast<int>(datagram.size()),
+                          Poco::Net::SocketAddress(peer));
+    } catch (const Poco::Exception& exception) {
+      kLog.Debug("A load notice was not sent.",
+                 {{"peer", peer}, {"cause", exception.displayText()}});
+    }
+  }
+}
+
+LoadExchange::LoadExchange(std::unique_ptr<State> state) : state(std::move(state)) {}
+
+LoadExchange::~LoadExchange() { this->Stop(); }
+
+Result<std::unique_ptr<LoadExchange>> LoadExchange::Start(const LoadExchangeOptions& options,
+                                                          UpstreamPool& pool, PeerSource peers) {
+  std::unique_ptr<LoadExchange> exchange(
+      new LoadExchange(std::make_unique<State>(options, pool, std::move(peers))));
+  State& state = *exchange->state;
+  state.sequence = static_cast<std::uint64_t>(state.clock.WallNow()) << 16U;
+  try {
+    state.socket.bind(Poco::Net::SocketAddress(options.address), true);
+  } catch (const Poco::Exception& exception) {
+    return Fail(ErrorKind::kUnavailable, "Cannot bind " + options.address + " for load notices (" +
+                                             exception.displayText() +
+                                             "). Choose an address of this host that is free.");
+  }
+  state.thread = std::thread([&state] { state.Run(); });
+  return exchange;
+}
+
+void LoadExchange::Stop() {
+  this->state->stopped = true;
+  if (this->state->thread.joinable()) {
+    this->state->thread.join();
+  }
+}
+
+}  // namespace masticrill::gateway
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -16,6 +16,15 @@
 
 }  // namespace
 
+double ServicePool::RelativeCost(const ModelId& model) const {
+  double dearest = 0;
+  for (const auto& [other, cost] : this->model_costs) {
+    dearest = std::max(dearest, cost);
+  }
+  const auto found = this->model_costs.find(model);
+  return found == this->model_costs.end() || found->second <= 0 ? 1 : found->second / dearest;
+}
+
 const Route* RouteTable::FindRoute(std::string_view host, std::string_view path) const {
   const auto found = this->routes_by_host.find(NormalizedHost(host));
   if (found == this->routes_by_host.end()) {
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -64,15 +64,19 @@
   return "broken";
 }
 
-UpstreamAttempt::UpstreamAttempt(const ListedUpstream& upstream, const EdgeProtocol& protocol,
+UpstreamAttempt::UpstreamAttempt(const UpstreamPick& pick, const EdgeProtocol& protocol,
                                  UpstreamPool& pool, const CallSettings& settings)
-    : upstream(upstream), protocol(protocol), pool(pool), settings(settings) {}
+    : upstream(pick.upstream),
+      waiting_work(pick.work),
+      protocol(protocol),
+      pool(pool),
+      settings(settings) {}
 
 UpstreamAttempt::~UpstreamAttempt() {
   if (this->stream != nullptr) {
     this->stream->Close();
   }
-  this->pool.Release(this->upstream.id, this->verdict, this->clock.Now());
+  this->pool.Release(this->upstream.id, this->waiting_work, this->verdict, this->clock.Now());
 }
 
 AttemptEnd UpstreamAttempt::Start(const net::RequestHead& request, const AttemptOrder& order,
@@ -199,6 +203,7 @@
     if (this->head.status >= kFirstFinalStatus) {
       this->answered_at = this->clock.Now();
       this->answer_begun = true;
+      this->pool.OnStarted(this->upstream.id, std::exchange(this->waiting_work, 0));
       return AttemptEnd::kAnswered;
     }
   }
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -47,7 +47,8 @@
 /// destroyed, which also ends the connection.
 class UpstreamAttempt {
  public:
-  UpstreamAttempt(const ListedUpstream& upstream, const EdgeProtocol& protocol, UpstreamPool& pool,
+  /// `pick` counts as in flight from then on.
+  UpstreamAttempt(const UpstreamPick& pick, const EdgeProtocol& protocol, UpstreamPool& pool,
                   const CallSettings& settings);
   ~UpstreamAttempt();
   UpstreamAttempt(const UpstreamAttempt&) = delete;
@@ -84,6 +85,8 @@
   AttemptEnd FillOnce(const net::SocketStream& caller, const AttemptTimes& times);
 
   ListedUpstream upstream;
+  /// Work that counts as waiting at the upstream, until the answer begins.
+  double waiting_work;
   const EdgeProtocol& protocol;
   UpstreamPool& pool;
   const CallSettings& settings;
--- a/src/gateway/upstream_choice.cc
+++ b/src/gateway/upstream_choice.cc
@@ -8,35 +8,31 @@
 namespace masticrill::gateway {
 namespace {
 
-double MeanLoad(const std::vector<Candidate>& candidates) {
-  double sum = 0;
-  for (const Candidate& candidate : candidates) {
-    sum += candidate.load;
-  }
-  return sum / static_cast<double>(candidates.size());
-}
+/// The places of the two candidates at which the key's shared part is expected, first one first.
+struct Keepers {
+  std::optional<std::size_t> first;
+  std::optional<std::size_t> second;
+};
 
-/// The place of the candidate that the key prefers among those within the load bound.
-std::optional<std::size_t> PreferredWithin(const std::vector<Candidate>& candidates,
-                                           std::string_view affinity_key, double load_bound) {
-  std::optional<std::size_t> best;
-  std::uint64_t best_rank = 0;
+Keepers FindKeepers(const std::vector<Candidate>& candidates, std::string_view affinity_key) {
+  Keepers keepers;
+  if (affinity_key.empty()) {
+    return keepers;
+  }
+  const std::uint64_t seed = Hash64(affinity_key);
+  std::uint64_t first_rank = 0;
+  std::uint64_t second_rank = 0;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
-    const Candidate& candidate = candidates[index];
-    if (candidate.load > load_bound) {
-      continue;
-    }
-    const std::uint64_t rank = Hash64(candidate.id.Value(), Hash64(affinity_key));
-    if (!best || rank > best_rank) {
-      best = index;
-      best_rank = rank;
+    const std::uint64_t rank = Hash64(candidates[index].id.Value(), seed);
+    if (!keepers.first || rank > first_rank) {
+      keepers.second = std::exchange(keepers.first, index);
+      second_rank = std::exchange(first_rank, rank);
+    } else if (!keepers.second || rank > second_rank) {
+      keepers.second = index;
+      second_rank = rank;
     }
   }
-  return best;
-}
-
-double Cost(const Candidate& candidate, const ChoiceSettings& settings) {
-  return candidate.load + (candidate.local ? 0 : settings.remote_penalty);
+  return keepers;
 }
 
 }  // namespace
@@ -54,34 +50,36 @@
 }
 
 UpstreamDecision ChooseUpstream(const std::vector<Candidate>& candidates,
-                                std::string_view affinity_key, const ChoiceSettings& settings,
-                                Random& random) {
-  if (candidates.empty()) {
-    return {};
-  }
-  if (!affinity_key.empty()) {
-    const double bound =
-        MeanLoad(candidates) * settings.affinity_load_factor + settings.affinity_load_slack;
-    if (const auto preferred = PreferredWithin(candidates, affinity_key, bound)) {
-      return {preferred, ChoiceReason::kCachedPrompt};
-    }
-  }
-  const std::size_t first = random.Below(candidates.size());
-  std::size_t second = first;
-  if (candidates.size() > 1) {
-    second = random.Below(candidates.size() - 1);
-    second += second >= first ? 1 : 0;
-  }
-  // A local upstream with room is better than two remote ones that happened to be drawn.
-  std::size_t best =
-      Cost(candidates[second], settings) < Cost(candidates[first], settings) ? second : first;
+                                std::string_view affinity_key, const WorkEstimate& work,
+                                const ChoiceSettings& settings, Random& random) {
+  const Keepers keepers = FindKeepers(candidates, affinity_key);
+  UpstreamDecision best;
+  double best_cost = 0;
+  std::uint64_t ties = 0;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
-    if (candidates[index].local &&
-        Cost(candidates[index], settings) < Cost(candidates[best], settings)) {
-      best = index;
+    const Candidate& candidate = candidates[index];
+    double added = work.own + work.shared;
+    if (keepers.first == index) {
+      added = work.own;
+    } else if (keepers.second == index) {
+      added = work.own + work.shared * (1 - settings.second_saves);
+    }
+    const double penalty = candidate.local ? 0 : settings.remote_penalty * (work.own + work.shared);
+    const double cost = candidate.load + added + penalty;
+    if (!best.index || cost < best_cost) {
+      ties = 1;
+    } else if (cost == best_cost) {
+      ++ties;
+    } else {
+      continue;
+    }
+    if (ties == 1 || random.Below(ties) == 0) {
+      const bool is_keeper = keepers.first == index || keepers.second == index;
+      best = {index, is_keeper ? ChoiceReason::kCachedPrompt : ChoiceReason::kLessLoaded, added};
+      best_cost = cost;
     }
   }
-  return {best, ChoiceReason::kLessLoaded};
+  return best;
 }
 
 }  // namespace masticrill::gateway
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -87,14 +87,59 @@
          !this->rules.closed_domains.contains(member.listed.failure_domain);
 }
 
+/// The work at an upstream: of this host, of the others as they told it, and at least what the
+/// upstream itself reported as waiting.
 double UpstreamPool::EstimatedLoad(const Member& member, TimePoint now) const {
-  const auto own = static_cast<double>(member.in_flight);
-  if (now - member.reported_at > this->settings.report_lifetime) {
-    return own;
+  const double running = this->RunningWork(member.listed.service);
+  double load = member.waiting_work + member.running * running + member.others_work;
+  if (now - member.reported_at <= this->settings.report_lifetime) {
+    load = std::max(load, static_cast<double>(member.report.waiting) * running);
+  }
+  return load;
+}
+
+/// A request that runs at a plain service holds a slot; one at an engine shares its steps.
+double UpstreamPool::RunningWork(const ServiceId& service) const {
+  const ServicePool* pool =
+      this->rules.table == nullptr ? nullptr : this->rules.table->FindService(service);
+  return pool != nullptr && pool->is_engine ? this->settings.running_work : 1;
+}
+
+std::vector<UpstreamWork> UpstreamPool::OwnWork() const {
+  const std::scoped_lock lock(this->mutex);
+  std::vector<UpstreamWork> work;
+  for (const auto& [id, member] : this->members) {
+    if (member.in_flight > 0) {
+      work.push_back({id, member.waiting_work, member.running});
+    }
+  }
+  return work;
+}
+
+void UpstreamPool::SetOthersWork(const NodeId& host, std::vector<UpstreamWork> work,
+                                 TimePoint now) {
+  const std::scoped_lock lock(this->mutex);
+  this->others.insert_or_assign(host, OthersWork{std::move(work), now});
+  this->SumOthersWork(now);
+}
+
+/// Hosts that told nothing lately count as having no work.
+void UpstreamPool::SumOthersWork(TimePoint now) {
+  for (auto& [id, member] : this->members) {
+    member.others_work = 0;
+  }
+  std::erase_if(this->others, [&](const auto& entry) {
+    return now - entry.second.told_at > this->settings.others_lifetime;
+  });
+  for (const auto& [host, told] : this->others) {
+    for (const UpstreamWork& work : told.work) {
+      if (const auto found = this->members.find(work.upstream); found != this->members.end()) {
+        Member& member = found->second;
+        member.others_work +=
+            work.waiting + work.running * this->RunningWork(member.listed.service);
+      }
+    }
   }
-  const double since = own - static_cast<double>(member.in_flight_at_report);
-  const auto reported = static_cast<double>(member.report.running + member.report.waiting);
-  return std::max(own, reported + since);
 }
 
 /// Whether a cold upstream bears another request now. All entries share its rate evenly.
@@ -173,33 +218,42 @@
   std::erase_if(
       found, [&](const Member* member) { return question.excluded.contains(member->listed.id); });
   if (found.empty()) {
-    return {PickStatus::kAllTried, {}, ChoiceReason::kNone, Duration::zero()};
+    return {PickStatus::kAllTried, {}, ChoiceReason::kNone, 0, Duration::zero()};
   }
   found = this->HealthyOrAll(found, now);
   std::erase_if(found, [&](Member* member) { return !this->TakeColdToken(*member, now, false); });
   if (found.empty()) {
     constexpr Duration kColdRetry = milliseconds(50);
-    return {PickStatus::kColdLimit, {}, ChoiceReason::kNone, kColdRetry};
+    return {PickStatus::kColdLimit, {}, ChoiceReason::kNone, 0, kColdRetry};
   }
   std::vector<Candidate> candidates;
   for (const Member* member : found) {
     candidates.push_back({member->listed.id, this->EstimatedLoad(*member, now),
-                          member->listed.slots,
                           member->listed.failure_domain == this->settings.own_domain});
   }
-  const UpstreamDecision decision =
-      ChooseUpstream(candidates, question.affinity_key, this->settings.choice, this->random);
+  const UpstreamDecision decision = ChooseUpstream(candidates, question.affinity_key, question.work,
+                                                   this->settings.choice, this->random);
   Member& chosen = *found.at(*decision.index);
   this->TakeColdToken(chosen, now, true);
   if (chosen.in_flight == 0) {
     chosen.heard_at = now;
   }
   ++chosen.in_flight;
+  chosen.waiting_work += decision.work;
   chosen.health.OnDispatch(this->settings.health, now);
-  return {PickStatus::kFound, chosen.listed, decision.reason, Duration::zero()};
+  return {PickStatus::kFound, chosen.listed, decision.reason, decision.work, Duration::zero()};
 }
 
-void UpstreamPool::Release(const UpstreamId& upstream, AttemptVerdict verdict, TimePoint now) {
+void UpstreamPool::OnStarted(const UpstreamId& upstream, double work) {
+  const std::scoped_lock lock(this->mutex);
+  if (const auto found = this->members.find(upstream); found != this->members.end()) {
+    found->second.waiting_work = std::max(found->second.waiting_work - work, 0.0);
+    ++found->second.running;
+  }
+}
+
+void UpstreamPool::Release(const UpstreamId& upstream, double work, AttemptVerdict verdict,
+                           TimePoint now) {
   const std::scoped_lock lock(this->mutex);
   const auto found = this->members.find(upstream);
   if (found == this->members.end()) {
@@ -207,6 +261,11 @@
   }
   Member& member = found->second;
   member.in_flight -= member.in_flight > 0 ? 1 : 0;
+  member.waiting_work = std::max(member.waiting_work - work, 0.0);
+  member.running = std::min(member.running, member.in_flight);
+  if (member.in_flight == 0) {
+    member.waiting_work = 0;
+  }
   const bool was_healthy =
       member.health.Read(this->settings.health, now).state == routing::HealthState::kHealthy;
   if (verdict == AttemptVerdict::kNeutral) {
@@ -226,7 +285,6 @@
   if (const auto found = this->members.find(upstream); found != this->members.end()) {
     found->second.report = report;
     found->second.reported_at = now;
-    found->second.in_flight_at_report = found->second.in_flight;
   }
 }
 
--- a/src/node/control_link.cc
+++ b/src/node/control_link.cc
@@ -58,7 +58,7 @@
   }
   this->current = (this->current + 1) % this->clients.size();
   kLog.Debug("Moved to another control host.",
-               {{"from", from->Address()}, {"to", this->clients.at(this->current)->Address()}});
+             {{"from", from->Address()}, {"to", this->clients.at(this->current)->Address()}});
 }
 
 }  // namespace masticrill::node
--- a/src/node/lease_keeper.cc
+++ b/src/node/lease_keeper.cc
@@ -1,6 +1,7 @@
 #include "masticrill/node/lease_keeper.h"
 
 #include <algorithm>
+
 #include "masticrill/common/log.h"
 #include "masticrill/config/document.h"
 
@@ -16,13 +17,14 @@
 
 LeaseKeeper::LeaseKeeper(std::shared_ptr<ControlLink> link, net::Identity self, std::string address,
                          LeaseHandler on_lease, Duration renew_interval,
-                         RolloutReporter report_rollouts)
+                         RolloutReporter report_rollouts, std::string load_address)
     : link(std::move(link)),
       self(std::move(self)),
       address(std::move(address)),
       on_lease(std::move(on_lease)),
       renew_interval(renew_interval),
       report_rollouts(std::move(report_rollouts)),
+      load_address(std::move(load_address)),
       started_at_ms(static_cast<std::uint64_t>(this->clock.WallNow())) {
   this->thread = std::thread([this] { this->Run(); });
 }
@@ -50,21 +52,31 @@
   return this->holder.Current();
 }
 
+std::vector<std::string> LeaseKeeper::LoadAddresses() const {
+  const std::lock_guard lock(this->mutex);
+  return this->load_addresses;
+}
+
 void LeaseKeeper::Run() {
   std::unique_lock lock(this->mutex);
   while (!this->stopped) {
     lock.unlock();
     this->Renew();
     lock.lock();
-    const Duration pause =
-        this->was_granted ? this->renew_interval : Duration(kRetryInterval);
+    const Duration pause = this->was_granted ? this->renew_interval : Duration(kRetryInterval);
     this->stopping.wait_for(lock, pause, [this] { return this->stopped; });
   }
 }
 
 void LeaseKeeper::Renew() {
-  net::LeaseRequest request{this->self.node, this->self.role,    this->self.incarnation, 0,
-                            this->address,   this->started_at_ms,  {}};
+  net::LeaseRequest request{this->self.node,
+                            this->self.role,
+                            this->self.incarnation,
+                            0,
+                            this->address,
+                            this->started_at_ms,
+                            {}};
+  request.load_address = this->load_address;
   if (this->report_rollouts) {
     request.rollouts = this->report_rollouts();
   }
@@ -106,6 +118,10 @@
     this->last_refusal.clear();
   }
   this->entry_count = std::max<std::uint32_t>(reply.entry_count, 1);
+  {
+    const std::lock_guard lock(this->mutex);
+    this->load_addresses = reply.load_addresses;
+  }
   this->link->Add(reply.control_hosts);
   config::ConfigurationPtr received;
   if (reply.delta) {
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -86,7 +86,7 @@
     gateway::RouteTable table;
     table.revision = 1;
     table.routes.emplace(prototype.id, prototype);
-    table.services[kService] = {kService, 0, {}, true, 1};
+    table.services[kService] = {kService, 0, {}, true, 1, {}};
     table.key_owners["good-key"] = {TeamId("team"), std::nullopt};
     table.requires_keys = !prototype.is_public;
     gateway::IndexRoutes(table);
--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -33,7 +33,7 @@
 
 RouteTablePtr TableWithColdStart(double per_second) {
   RouteTable table;
-  table.services[kService] = {kService, 0, {milliseconds(3000), per_second}, true};
+  table.services[kService] = {kService, 0, {milliseconds(3000), per_second}, true, 1, {}};
   return std::make_shared<const RouteTable>(std::move(table));
 }
 
