--- a/include/masticrill/gateway/upstream_choice.h
+++ b/include/masticrill/gateway/upstream_choice.h
@@ -20,6 +20,8 @@
   double shared = 0;
   /// What only this request has.
   double own = 1;
+  /// What reading the shared part again costs besides its time, in the same unit.
+  double reread_price = 0;
 
   friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
 };
