--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -205,7 +205,7 @@
 WorkEstimate CallRunner::EstimateWork() const {
   const ServicePool* pool = this->view->table->FindService(this->service);
   if (pool == nullptr || !pool->is_engine) {
-    return {0, 1};
+    return {0, 1, 0};
   }
   double weight = 1;
   if (this->facts.any_model && !this->route->models.empty()) {
@@ -216,7 +216,7 @@
     shared += static_cast<double>(this->facts.prompt[index].tokens);
   }
   const double own = std::max(static_cast<double>(this->facts.prompt_tokens) - shared, 1.0);
-  return {shared * weight, own * weight};
+  return {shared * weight, own * weight, shared * this->parts.settings.reread_price};
 }
 
 /// Finds an upstream, waiting a little where only cold ones are left. Ends the request if there is
--- a/src/gateway/upstream_choice.cc
+++ b/src/gateway/upstream_choice.cc
@@ -58,14 +58,15 @@
   std::uint64_t ties = 0;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
     const Candidate& candidate = candidates[index];
-    double added = work.own + work.shared;
+    double read_again = 1;
     if (keepers.first == index) {
-      added = work.own;
+      read_again = 0;
     } else if (keepers.second == index) {
-      added = work.own + work.shared * (1 - settings.second_saves);
+      read_again = 1 - settings.second_saves;
     }
+    const double added = work.own + work.shared * read_again;
     const double penalty = candidate.local ? 0 : settings.remote_penalty * (work.own + work.shared);
-    const double cost = candidate.load + added + penalty;
+    const double cost = candidate.load + added + work.reread_price * read_again + penalty;
     if (!best.index || cost < best_cost) {
       ties = 1;
     } else if (cost == best_cost) {
