--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -51,7 +51,7 @@
   double retry_balance = 5;
   /// What a token of a shared prompt part that is read again costs, against the time of a token of
   /// the strongest model.
-  double reread_price = 0.2;
+  double reread_price = 0.5;
   /// An answer whose model is less sure than this, from 0 to 1, is dropped for a stronger one: by
   /// the rank of the request's route, the last for all further ranks. What matters most is worth
   /// the price of a strong model at a smaller doubt.
