--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -281,7 +281,7 @@
   double load = 0;
   const UpstreamDecision decision = this->Decide(found, question, now, load);
   return duration_cast<Duration>(std::chrono::duration<double>(
-      (load + decision.work) * speed->second.in_seconds / speed->second.work));
+      load * speed->second.in_seconds / speed->second.work));
 }
 
 void UpstreamPool::OnStarted(const UpstreamPick& pick, Duration latency) {
