--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -279,7 +279,7 @@
     return std::nullopt;
   }
   double load = 0;
-  const UpstreamDecision decision = this->Decide(found, question, now, load);
+  this->Decide(found, question, now, load);
   return duration_cast<Duration>(std::chrono::duration<double>(
       load * speed->second.in_seconds / speed->second.work));
 }
