--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -69,8 +69,6 @@
   ChoiceReason reason = ChoiceReason::kNone;
   /// What was counted as waiting there, for OnStarted.
   double work = 0;
-  /// The work that stood before it.
-  double load = 0;
   /// When there is room at a cold upstream again, with kColdLimit.
   Duration retry_after{0};
 };
@@ -107,12 +105,8 @@
 
   /// Finds an upstream and counts the request as in flight there until Release.
   UpstreamPick Pick(const UpstreamQuestion& question, TimePoint now, WallTimeMs wall_now);
-  /// The answer has begun after that time: the work that Pick counted is done.
-  void OnStarted(const UpstreamPick& pick, Duration latency);
-  /// When an answer would begin at the best upstream, from the work that waits there and the speed
-  /// seen lately; nothing while none was seen or no upstream may take the request.
-  std::optional<Duration> ExpectedDelay(const UpstreamQuestion& question, TimePoint now,
-                                        WallTimeMs wall_now);
+  /// The answer has begun: the work that Pick counted is done.
+  void OnStarted(const UpstreamId& upstream, double work);
   /// Ends what Pick began; `work` is what OnStarted was not called for.
   void Release(const UpstreamId& upstream, double work, AttemptVerdict verdict, TimePoint now);
 
@@ -152,11 +146,6 @@
   };
 
   void OnRestart(Member& member, TimePoint now);
-  /// The members that may take the request, by membership, version, earlier tries and health.
-  std::vector<Member*> FindMembers(const UpstreamQuestion& question, TimePoint now,
-                                   WallTimeMs wall_now, PickStatus& status);
-  UpstreamDecision Decide(const std::vector<Member*>& found, const UpstreamQuestion& question,
-                          TimePoint now, double& load);
   bool MayTakeWork(const Member& member, const UpstreamQuestion& question) const;
   double EstimatedLoad(const Member& member, TimePoint now) const;
   double RunningWork(const ServiceId& service) const;
@@ -178,12 +167,6 @@
     TimePoint told_at;
   };
   std::map<NodeId, OthersWork> others;
-  /// Work and time of recent answers, both fading, of each service.
-  struct Speed {
-    double work = 0;
-    double in_seconds = 0;
-  };
-  std::map<ServiceId, Speed> speeds;
 };
 
 }  // namespace masticrill::gateway
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -219,19 +219,12 @@
   return {shared * weight, own * weight, shared * this->parts.settings.reread_price};
 }
 
-UpstreamQuestion CallRunner::MakeQuestion() const {
-  return {this->service, this->tried, this->route->sticky ? SharedPart(this->facts.prompt) : "",
-          this->EstimateWork(), this->SessionKey()};
-}
-
-bool CallRunner::WouldBeLate(std::optional<Duration> delay) const {
-  return delay && this->clock.Now() + *delay > this->LatencyBound(1);
-}
-
 /// Finds an upstream, waiting a little where only cold ones are left. Ends the request if there is
 /// none.
 std::optional<UpstreamPick> CallRunner::FindUpstream() {
-  const UpstreamQuestion question = this->MakeQuestion();
+  const UpstreamQuestion question{this->service, this->tried,
+                                  this->route->sticky ? SharedPart(this->facts.prompt) : "",
+                                  this->EstimateWork(), this->SessionKey()};
   const TimePoint wait_until =
       std::min(this->deadline, this->LatencyBound(this->parts.settings.cold_wait_share));
   while (true) {
@@ -471,16 +464,6 @@
       *confidence >= this->ConfidenceTarget() || this->attempts >= this->route->max_attempts) {
     return false;
   }
-  // Under load a late answer of the strong model is worth less than this one, and its prompt would
-  // delay others.
-  const std::size_t cheap_step = std::exchange(this->model_step, this->route->models.size() - 1);
-  const std::optional<Duration> delay = this->parts.pool.ExpectedDelay(
-      this->MakeQuestion(), this->clock.Now(), this->clock.WallNow());
-  this->model_step = cheap_step;
-  if (this->WouldBeLate(delay)) {
-    ++this->parts.metrics.not_escalated;
-    return false;
-  }
   return this->parts.budgets.For(this->service).TryTake();
 }
 
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -79,9 +79,6 @@
   std::optional<Refusal> CheckTimeLeft() const;
   void ChooseService();
   WorkEstimate EstimateWork() const;
-  UpstreamQuestion MakeQuestion() const;
-  /// Whether an answer that begins after that delay from now would be late.
-  bool WouldBeLate(std::optional<Duration> delay) const;
   std::optional<UpstreamPick> FindUpstream();
   AttemptOrder MakeOrder(const ListedUpstream& upstream) const;
   AttemptTimes MakeTimes(std::uint32_t attempts_made);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -10,9 +10,6 @@
                  this->answered);
   writer.Counter("masticrill_gateway_escalated_total",
                  "Answers that were dropped for a stronger model's.", this->escalated);
-  writer.Counter("masticrill_gateway_not_escalated_total",
-                 "Unsure answers that were kept because a stronger model's would be late.",
-                 this->not_escalated);
   writer.Counter("masticrill_gateway_resumed_total", "Streams that went on at another upstream.",
                  this->resumed);
   writer.Gauge("masticrill_gateway_in_flight", "Requests in progress.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -16,7 +16,6 @@
   std::atomic<std::uint64_t> received = 0;
   std::atomic<std::uint64_t> answered = 0;
   std::atomic<std::uint64_t> escalated = 0;
-  std::atomic<std::uint64_t> not_escalated = 0;
   std::atomic<std::uint64_t> resumed = 0;
   std::atomic<std::int64_t> in_flight = 0;
   std::atomic<std::int64_t> connections = 0;
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -66,14 +66,17 @@
 
 UpstreamAttempt::UpstreamAttempt(const UpstreamPick& pick, const EdgeProtocol& protocol,
                                  UpstreamPool& pool, const CallSettings& settings)
-    : pick(pick), protocol(protocol), pool(pool), settings(settings) {}
+    : upstream(pick.upstream),
+      waiting_work(pick.work),
+      protocol(protocol),
+      pool(pool),
+      settings(settings) {}
 
 UpstreamAttempt::~UpstreamAttempt() {
   if (this->stream != nullptr) {
     this->stream->Close();
   }
-  const double waiting_work = this->answer_begun ? 0 : this->pick.work;
-  this->pool.Release(this->pick.upstream.id, waiting_work, this->verdict, this->clock.Now());
+  this->pool.Release(this->upstream.id, this->waiting_work, this->verdict, this->clock.Now());
 }
 
 AttemptEnd UpstreamAttempt::Start(const net::RequestHead& request, const AttemptOrder& order,
@@ -96,7 +99,7 @@
   const TimePoint by =
       std::min(times.deadline, this->clock.Now() + Duration(this->settings.connect_timeout));
   net::IoEnd end = net::IoEnd::kDone;
-  this->stream = net::SocketStream::Connect(this->pick.upstream.address, by, &caller, end);
+  this->stream = net::SocketStream::Connect(this->upstream.address, by, &caller, end);
   if (end == net::IoEnd::kWatchedLeft) {
     return AttemptEnd::kCallerLeft;
   }
@@ -133,7 +136,7 @@
     return AttemptEnd::kSlow;
   }
   if (now - this->heard_at >= times.silence &&
-      this->pool.Silence(this->pick.upstream.id, now) >= times.silence && times.may_leave()) {
+      this->pool.Silence(this->upstream.id, now) >= times.silence && times.may_leave()) {
     return AttemptEnd::kSilent;
   }
   return std::nullopt;
@@ -150,7 +153,7 @@
     const TimePoint now = this->clock.Now();
     if (end == net::IoEnd::kDone) {
       this->heard_at = now;
-      this->pool.OnHeard(this->pick.upstream.id, now);
+      this->pool.OnHeard(this->upstream.id, now);
       return AttemptEnd::kAnswered;
     }
     if (end != net::IoEnd::kTimeout) {
@@ -200,7 +203,7 @@
     if (this->head.status >= kFirstFinalStatus) {
       this->answered_at = this->clock.Now();
       this->answer_begun = true;
-      this->pool.OnStarted(this->pick, this->AnswerLatency());
+      this->pool.OnStarted(this->upstream.id, std::exchange(this->waiting_work, 0));
       return AttemptEnd::kAnswered;
     }
   }
@@ -214,10 +217,10 @@
   }
   const TimePoint now = this->clock.Now();
   if (this->facts.load) {
-    this->pool.OnLoad(this->pick.upstream.id, *this->facts.load, now);
+    this->pool.OnLoad(this->upstream.id, *this->facts.load, now);
   }
   if (this->facts.cold_left) {
-    this->pool.OnCold(this->pick.upstream.id, *this->facts.cold_left, now);
+    this->pool.OnCold(this->upstream.id, *this->facts.cold_left, now);
   }
   if (this->facts.not_run || this->facts.other_upstream) {
     return AttemptEnd::kNotRun;
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -68,7 +68,7 @@
   bool HandedOver() const { return this->handed_over; }
   const net::AnswerHead& Head() const { return this->head; }
   const AnswerFacts& Facts() const { return this->facts; }
-  const ListedUpstream& Upstream() const { return this->pick.upstream; }
+  const ListedUpstream& Upstream() const { return this->upstream; }
   /// From the hand-over to the head of the answer.
   Duration AnswerLatency() const { return this->answered_at - this->started_at; }
 
@@ -84,7 +84,9 @@
   std::optional<AttemptEnd> Overdue(const AttemptTimes& times, TimePoint now) const;
   AttemptEnd FillOnce(const net::SocketStream& caller, const AttemptTimes& times);
 
-  UpstreamPick pick;
+  ListedUpstream upstream;
+  /// Work that counts as waiting at the upstream, until the answer begins.
+  double waiting_work;
   const EdgeProtocol& protocol;
   UpstreamPool& pool;
   const CallSettings& settings;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -202,9 +202,9 @@
   return healthy.empty() ? found : healthy;
 }
 
-std::vector<UpstreamPool::Member*> UpstreamPool::FindMembers(const UpstreamQuestion& question,
-                                                             TimePoint now, WallTimeMs wall_now,
-                                                             PickStatus& status) {
+UpstreamPick UpstreamPool::Pick(const UpstreamQuestion& question, TimePoint now,
+                                WallTimeMs wall_now) {
+  const std::scoped_lock lock(this->mutex);
   std::vector<Member*> found;
   for (auto& [id, member] : this->members) {
     if (this->MayTakeWork(member, question)) {
@@ -213,18 +213,19 @@
   }
   found = this->FilterByVersion(std::move(found), question, wall_now);
   if (found.empty()) {
-    status = PickStatus::kNoUpstream;
-    return found;
+    return {};
   }
   std::erase_if(
       found, [&](const Member* member) { return question.excluded.contains(member->listed.id); });
-  status = found.empty() ? PickStatus::kAllTried : PickStatus::kFound;
-  return this->HealthyOrAll(found, now);
-}
-
-UpstreamDecision UpstreamPool::Decide(const std::vector<Member*>& found,
-                                      const UpstreamQuestion& question, TimePoint now,
-                                      double& load) {
+  if (found.empty()) {
+    return {PickStatus::kAllTried, {}, ChoiceReason::kNone, 0, Duration::zero()};
+  }
+  found = this->HealthyOrAll(found, now);
+  std::erase_if(found, [&](Member* member) { return !this->TakeColdToken(*member, now, false); });
+  if (found.empty()) {
+    constexpr Duration kColdRetry = milliseconds(50);
+    return {PickStatus::kColdLimit, {}, ChoiceReason::kNone, 0, kColdRetry};
+  }
   std::vector<Candidate> candidates;
   for (const Member* member : found) {
     candidates.push_back({member->listed.id, this->EstimatedLoad(*member, now),
@@ -232,26 +233,6 @@
   }
   const UpstreamDecision decision = ChooseUpstream(candidates, question.affinity_key, question.work,
                                                    this->settings.choice, this->random);
-  load = decision.index ? candidates.at(*decision.index).load : 0;
-  return decision;
-}
-
-UpstreamPick UpstreamPool::Pick(const UpstreamQuestion& question, TimePoint now,
-                                WallTimeMs wall_now) {
-  const std::scoped_lock lock(this->mutex);
-  UpstreamPick pick;
-  std::vector<Member*> found = this->FindMembers(question, now, wall_now, pick.status);
-  if (found.empty()) {
-    return pick;
-  }
-  std::erase_if(found, [&](Member* member) { return !this->TakeColdToken(*member, now, false); });
-  if (found.empty()) {
-    constexpr Duration kColdRetry = milliseconds(50);
-    pick.status = PickStatus::kColdLimit;
-    pick.retry_after = kColdRetry;
-    return pick;
-  }
-  const UpstreamDecision decision = this->Decide(found, question, now, pick.load);
   Member& chosen = *found.at(*decision.index);
   this->TakeColdToken(chosen, now, true);
   if (chosen.in_flight == 0) {
@@ -260,42 +241,15 @@
   ++chosen.in_flight;
   chosen.waiting_work += decision.work;
   chosen.health.OnDispatch(this->settings.health, now);
-  pick.upstream = chosen.listed;
-  pick.reason = decision.reason;
-  pick.work = decision.work;
-  return pick;
+  return {PickStatus::kFound, chosen.listed, decision.reason, decision.work, Duration::zero()};
 }
 
-std::optional<Duration> UpstreamPool::ExpectedDelay(const UpstreamQuestion& question, TimePoint now,
-                                                    WallTimeMs wall_now) {
+void UpstreamPool::OnStarted(const UpstreamId& upstream, double work) {
   const std::scoped_lock lock(this->mutex);
-  const auto speed = this->speeds.find(question.service);
-  if (speed == this->speeds.end() || speed->second.work <= 0) {
-    return std::nullopt;
-  }
-  PickStatus status = PickStatus::kFound;
-  const std::vector<Member*> found = this->FindMembers(question, now, wall_now, status);
-  if (found.empty()) {
-    return std::nullopt;
-  }
-  double load = 0;
-  this->Decide(found, question, now, load);
-  return duration_cast<Duration>(std::chrono::duration<double>(
-      load * speed->second.in_seconds / speed->second.work));
-}
-
-void UpstreamPool::OnStarted(const UpstreamPick& pick, Duration latency) {
-  /// The weight that older answers keep with each new one: about the last hundred count.
-  constexpr double kKept = 0.99;
-  const std::scoped_lock lock(this->mutex);
-  if (const auto found = this->members.find(pick.upstream.id); found != this->members.end()) {
-    found->second.waiting_work = std::max(found->second.waiting_work - pick.work, 0.0);
+  if (const auto found = this->members.find(upstream); found != this->members.end()) {
+    found->second.waiting_work = std::max(found->second.waiting_work - work, 0.0);
     ++found->second.running;
   }
-  const std::chrono::duration<double> in_seconds = latency;
-  Speed& speed = this->speeds[pick.upstream.service];
-  speed.work = speed.work * kKept + pick.load + pick.work;
-  speed.in_seconds = speed.in_seconds * kKept + in_seconds.count();
 }
 
 void UpstreamPool::Release(const UpstreamId& upstream, double work, AttemptVerdict verdict,
