--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -8,6 +8,7 @@
 
 #include "masticrill/common/clock.h"
 #include "masticrill/common/name.h"
+#include "masticrill/common/result.h"
 #include "masticrill/control/operator_access.h"
 #include "masticrill/net/http_server.h"
 #include "masticrill/state/replicated_state.h"
@@ -25,6 +26,10 @@
 /// Answers one request of an operator.
 using OperatorFrontend = std::function<net::HttpAnswer(const net::HttpRequest&, OperatorAccess&)>;
 
+/// Reads the list of upstreams that is shared with all nodes, as bytes. Fails when it cannot be
+/// had.
+using SharedListReader = std::function<Result<std::string>()>;
+
 /// Times and limits of a control host.
 struct ControlTimings {
   Duration heartbeat_interval = milliseconds(100);
@@ -41,6 +46,9 @@
   /// to take its place; and after the longer time also without one, if enough others are left.
   Duration replaceable_silence = seconds(3);
   Duration removable_silence = seconds(10);
+  /// How often the leader reads the shared list, and the others ask it for that.
+  Duration list_interval = milliseconds(500);
+  Duration list_ask_interval = milliseconds(200);
   /// How often the leader looks for lost incarnations and for learners that caught up.
   Duration upkeep_interval = seconds(1);
   /// A snapshot is taken after this many commands or bytes of commands.
@@ -68,6 +76,8 @@
   /// While this replica is no member of a running group, ask the group to take it in; and as the
   /// leader, replace members that are gone by those that have come. Otherwise operators do both.
   bool join_by_itself = false;
+  /// Called by the leader alone, for all nodes; empty where no list is shared.
+  SharedListReader read_list = {};
   /// Answers operators in place of the own interface; empty for the own one.
   OperatorFrontend operator_frontend = {};
   /// Shared by all processes of the system.
--- a/include/masticrill/gateway/upstream_list.h
+++ b/include/masticrill/gateway/upstream_list.h
@@ -32,10 +32,21 @@
   WallTimeMs started_at = 0;
 
   friend bool operator==(const ListedUpstream&, const ListedUpstream&) = default;
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    std::int64_t cold_ms = this->cold_left.count();
+    archive(this->id, this->service, this->address, this->failure_domain, this->version,
+            this->slots, this->leaving, cold_ms, this->started_at);
+    this->cold_left = milliseconds(cold_ms);
+  }
 };
 
 using UpstreamList = std::vector<ListedUpstream>;
 
+/// The list as bytes, for control hosts that share it. Decoding fails with kMalformedMessage.
+std::string EncodeUpstreamList(const UpstreamList& list);
+Result<UpstreamList> DecodeUpstreamList(const std::string& bytes);
+
 /// Reads the whole list from outside. Fails when any part of it cannot be had.
 using UpstreamListReader = std::function<Result<UpstreamList>()>;
 
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -13,6 +13,44 @@
 
 namespace masticrill::net {
 
+/// A list of upstreams that one control host reads for all, in the encoding of its reader.
+struct SharedList {
+  /// Changes with each reading that found another list, and never goes down; 0 for none.
+  std::uint64_t version = 0;
+  /// The list; empty where the receiver has this version already.
+  std::string bytes;
+  /// The time since the list was last read.
+  std::int64_t age_ms = 0;
+
+  friend bool operator==(const SharedList&, const SharedList&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->version, this->bytes, this->age_ms);
+  }
+};
+
+/// Between control replicas: a newer list than this version?
+struct SharedListRequest {
+  static constexpr MessageType kType = MessageType::kSharedListRequest;
+  std::uint64_t known_version = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->known_version);
+  }
+};
+
+struct SharedListReply {
+  static constexpr MessageType kType = MessageType::kSharedListReply;
+  SharedList list;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->list);
+  }
+};
+
 /// What an entry saw of a service's roll-out since the order: its target, and all other versions.
 struct RolloutReport {
   ServiceId service;
@@ -44,11 +82,13 @@
   std::vector<RolloutReport> rollouts = {};
   /// IP:PORT at which the node takes load notices of other entries; empty where it takes none.
   std::string load_address = {};
+  /// The version of the shared list that the node has.
+  std::uint64_t known_list_version = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->known_number, this->address,
-            this->started_at_ms, this->rollouts, this->load_address);
+            this->started_at_ms, this->rollouts, this->load_address, this->known_list_version);
   }
 };
 
@@ -68,11 +108,12 @@
   std::vector<std::string> control_hosts = {};
   /// Where the entries that hold leases take load notices.
   std::vector<std::string> load_addresses = {};
+  SharedList list = {};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->granted, this->length_ms, this->number, this->delta, this->message,
-            this->entry_count, this->control_hosts, this->load_addresses);
+            this->entry_count, this->control_hosts, this->load_addresses, this->list);
   }
 };
 
--- a/include/masticrill/net/message_type.h
+++ b/include/masticrill/net/message_type.h
@@ -34,6 +34,8 @@
   kFleetReply,
   kMemberRequest,
   kMemberReply,
+  kSharedListRequest,
+  kSharedListReply,
 };
 
 }  // namespace masticrill::net
--- a/include/masticrill/node/lease_keeper.h
+++ b/include/masticrill/node/lease_keeper.h
@@ -1,7 +1,6 @@
 #ifndef MASTICRILL_NODE_LEASE_KEEPER_H_
 #define MASTICRILL_NODE_LEASE_KEEPER_H_
 
-#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -17,19 +16,38 @@
 
 namespace masticrill::node {
 
+/// What comes with a lease.
+struct LeaseNews {
+  TimePoint valid_until;
+  /// The entries that hold leases, which share limits that bind all of them together; at least 1.
+  std::uint32_t entry_count = 1;
+};
+
 /// Keeps a node's configuration lease: a thread asks the control host for it at each renewal
 /// interval. Safe for several threads.
 class LeaseKeeper {
  public:
   /// Told on the keeper's thread of each lease, with the configuration that it is for.
-  using LeaseHandler = std::function<void(const config::ConfigurationPtr&, TimePoint valid_until)>;
+  using LeaseHandler = std::function<void(const config::ConfigurationPtr&, const LeaseNews&)>;
+
+  /// Told of a list that was read `age` ago. A version comes once.
+  using ListHandler = std::function<void(const std::string& bytes, Duration age)>;
 
-  /// Gives the roll-out evidence that goes with a request.
-  using RolloutReporter = std::function<std::vector<net::RolloutReport>()>;
+  /// What a node may add to its requests and take from the replies.
+  struct Extras {
+    Duration renew_interval = config::kLeaseRenewInterval;
+    /// Gives the roll-out evidence that goes with a request.
+    std::function<std::vector<net::RolloutReport>()> report_rollouts = {};
+    /// Where the node takes load notices; empty for none.
+    std::string load_address = {};
+    /// Takes the shared list; called with each reply, with no bytes where it is unchanged.
+    ListHandler on_list = {};
+  };
 
   LeaseKeeper(std::shared_ptr<ControlLink> link, net::Identity self, std::string address,
-              LeaseHandler on_lease, Duration renew_interval = config::kLeaseRenewInterval,
-              RolloutReporter report_rollouts = {}, std::string load_address = {});
+              LeaseHandler on_lease);
+  LeaseKeeper(std::shared_ptr<ControlLink> link, net::Identity self, std::string address,
+              LeaseHandler on_lease, Extras extras);
   ~LeaseKeeper();
   LeaseKeeper(const LeaseKeeper&) = delete;
   LeaseKeeper& operator=(const LeaseKeeper&) = delete;
@@ -38,9 +56,6 @@
   /// The configuration in force here; null until the first lease.
   config::ConfigurationPtr Configuration() const;
 
-  /// The entries that held leases when this node's was last renewed, this one among them.
-  std::uint32_t EntryCount() const { return this->entry_count; }
-
   /// Where the other entries take load notices, as of then.
   std::vector<std::string> LoadAddresses() const;
 
@@ -57,11 +72,9 @@
   net::Identity self;
   std::string address;
   LeaseHandler on_lease;
-  Duration renew_interval;
-  RolloutReporter report_rollouts;
-  std::string load_address;
+  Extras extras;
+  std::uint64_t list_version = 0;
   std::vector<std::string> load_addresses;
-  std::atomic<std::uint32_t> entry_count = 1;
   SystemClock clock;
   std::uint64_t started_at_ms;
   mutable std::mutex mutex;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -10,6 +10,7 @@
 #include "control/formation.h"
 #include "control/joiner.h"
 #include "control/lease_service.h"
+#include "control/list_service.h"
 #include "control/member_service.h"
 #include "control/node_registry.h"
 #include "control/operator_access.h"
@@ -69,6 +70,7 @@
   std::unique_ptr<Proposer> proposer;
   std::unique_ptr<MemberService> members;
   std::unique_ptr<FleetView> fleet;
+  std::unique_ptr<ListService> lists;
   std::unique_ptr<LeaseService> leases;
   std::unique_ptr<CommittedAccess> access;
   std::unique_ptr<Upkeep> upkeep;
@@ -98,7 +100,9 @@
   this->fleet = std::make_unique<FleetView>(this->nodes, this->addresses);
   this->proposer =
       std::make_unique<Proposer>(*this->replica, this->addresses, this->options.timings);
-  this->leases = std::make_unique<LeaseService>(*this->replica, this->replicated, this->nodes);
+  this->lists = std::make_unique<ListService>(this->options, *this->replica, this->addresses);
+  this->leases =
+      std::make_unique<LeaseService>(*this->replica, this->replicated, this->nodes, *this->lists);
   this->access = std::make_unique<CommittedAccess>(this->options, *this->replica, this->replicated,
                                                    *this->proposer);
   this->upkeep =
@@ -123,9 +127,9 @@
 }
 
 Result<void> ControlServer::State::StartServers() {
-  this->rpc = std::make_unique<RpcService>(RpcParts{*this->replica, *this->proposer, *this->leases,
-                                                    this->nodes, *this->formation, *this->members,
-                                                    this->addresses, this->reply_lanes});
+  this->rpc = std::make_unique<RpcService>(
+      RpcParts{*this->replica, *this->proposer, *this->leases, this->nodes, *this->formation,
+               *this->members, this->addresses, *this->lists, this->reply_lanes});
   this->api = std::make_unique<OperatorApi>(
       ApiParts{this->options, *this->replica, this->replicated, *this->proposer, *this->leases,
                *this->members, *this->fleet, *this->outcomes, *this->upkeep, *this->transport});
@@ -178,6 +182,9 @@
   if (this->joiner != nullptr) {
     this->joiner->Stop();
   }
+  if (this->lists != nullptr) {
+    this->lists->Stop();
+  }
   if (this->rollouts != nullptr) {
     this->rollouts->Stop();
   }
--- a/src/control/lease_service.cc
+++ b/src/control/lease_service.cc
@@ -44,11 +44,10 @@
 }
 
 LeaseService::LeaseService(ReplicaRunner& replica, const state::ReplicatedState& state,
-                           NodeRegistry& nodes)
-    : replica(replica),
-      state(state),
-      nodes(nodes),
-      evidence_thread([this] { return this->AskForEvidence(); }) {}
+                           NodeRegistry& nodes, const ListService& lists)
+    : replica(replica), state(state), nodes(nodes), lists(lists), evidence_thread([this] {
+        return this->AskForEvidence();
+      }) {}
 
 net::LeaseReply LeaseService::Handle(const net::LeaseRequest& request) {
   this->nodes.Record(request, this->clock.Now());
@@ -77,7 +76,8 @@
           .message = MessageFor(decision),
           .entry_count = 0,
           .control_hosts = {},
-          .load_addresses = {}};
+          .load_addresses = {},
+          .list = {}};
 }
 
 net::LeaseReply LeaseService::Decide(const net::LeaseRequest& request,
@@ -111,13 +111,15 @@
                         .message = "",
                         .entry_count = 0,
                         .control_hosts = {},
-                        .load_addresses = {}};
+                        .load_addresses = {},
+                        .list = {}};
   {
     const std::scoped_lock lock(this->fleet_mutex);
     reply.entry_count = this->fleet.entry_count;
     reply.control_hosts = this->fleet.control_hosts;
     reply.load_addresses = this->fleet.load_addresses;
   }
+  reply.list = this->lists.Read(request.known_list_version);
   if (request.known_number != number) {
     reply.delta = this->state.DeltaFrom(request.known_number);
     // A change may have been applied since the number was read; it is in the delta then.
--- a/src/control/lease_service.h
+++ b/src/control/lease_service.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <string_view>
 
+#include "control/list_service.h"
 #include "control/node_registry.h"
 #include "control/periodic_thread.h"
 #include "control/replica_runner.h"
@@ -47,7 +48,8 @@
 class LeaseService {
  public:
   /// The arguments outlive the service.
-  LeaseService(ReplicaRunner& replica, const state::ReplicatedState& state, NodeRegistry& nodes);
+  LeaseService(ReplicaRunner& replica, const state::ReplicatedState& state, NodeRegistry& nodes,
+               const ListService& lists);
 
   net::LeaseReply Handle(const net::LeaseRequest& request);
   /// Whether a lease could be granted now, configuration or not.
@@ -78,6 +80,7 @@
   ReplicaRunner& replica;
   const state::ReplicatedState& state;
   NodeRegistry& nodes;
+  const ListService& lists;
   SystemClock clock;
   std::atomic<bool> stopping = false;
   EnumCounter<LeaseDecision, kAllLeaseDecisions.size()> decisions{kAllLeaseDecisions};
--- /dev/null
+++ b/src/control/list_service.cc
@@ -0,0 +1,118 @@
+#include "control/list_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "masticrill/common/log.h"
+#include "masticrill/net/messages.h"
+
+namespace masticrill::control {
+namespace {
+
+constexpr Logger kLog(LogPart::kControl);
+constexpr Duration kCallTimeout = milliseconds(500);
+/// A host without a list has nothing to do.
+constexpr Duration kNothingShared = std::chrono::hours(24);
+
+}  // namespace
+
+ListService::ListService(const ControlOptions& options, ReplicaRunner& replica,
+                         AddressBook& addresses)
+    : options(options),
+      replica(replica),
+      addresses(addresses),
+      thread([this] { return this->Work(); }) {}
+
+net::SharedList ListService::Read(std::uint64_t known_version) const {
+  const std::scoped_lock lock(this->mutex);
+  net::SharedList copy{this->list.version, "",
+                       duration_cast<milliseconds>(this->clock.Now() - this->read_at).count()};
+  if (known_version != this->list.version) {
+    copy.bytes = this->list.bytes;
+  }
+  return copy;
+}
+
+Duration ListService::Work() {
+  if (!this->options.read_list) {
+    return kNothingShared;
+  }
+  const consensus::ReplicaStatus status = this->replica.Status().replica;
+  if (status.role == consensus::Role::kLeader) {
+    this->ReadAsLeader();
+    return this->options.timings.list_interval;
+  }
+  if (!status.leader.Empty()) {
+    this->AskLeader(status.leader.node);
+  }
+  return this->options.timings.list_ask_interval;
+}
+
+void ListService::ReadAsLeader() {
+  const bool read = HandleErrors(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(bytes, this->options.read_list());
+        std::uint64_t version = 0;
+        {
+          const std::scoped_lock lock(this->mutex);
+          version = this->list.version;
+          if (version == 0 || bytes != this->list.bytes) {
+            // A new leader goes on above what any earlier one may have given out.
+            version = std::max(version + 1, static_cast<std::uint64_t>(this->clock.WallNow()));
+          }
+        }
+        this->Take(version, std::move(bytes), Duration::zero());
+        return true;
+      },
+      [&](const Error& error) {
+        if (!this->failing) {
+          kLog.Warning("The shared list cannot be read; the last one stays in use.",
+                       {{"cause", error.message}});
+        }
+        return false;
+      });
+  if (read && this->failing) {
+    kLog.Info("The shared list can be read again.");
+  }
+  this->failing = !read;
+}
+
+void ListService::AskLeader(const NodeId& leader) {
+  const std::shared_ptr<net::RpcClient> client = this->addresses.Client(leader);
+  if (client == nullptr) {
+    return;
+  }
+  HandleErrors(
+      [&]() -> Result<bool> {
+        std::uint64_t known = 0;
+        {
+          const std::scoped_lock lock(this->mutex);
+          known = this->list.version;
+        }
+        BOOST_LEAF_AUTO(
+            reply, client->Call<net::SharedListReply>(net::SharedListRequest{known}, kCallTimeout));
+        this->Take(reply.list.version, std::move(reply.list.bytes),
+                   milliseconds(reply.list.age_ms));
+        return true;
+      },
+      [](const Error& error) {
+        // Asked again at once; nodes read the list themselves when theirs gets old.
+        kLog.Debug("The leader did not give the shared list.", {{"cause", error.message}});
+        return false;
+      });
+}
+
+/// Takes a list that is not older than the one here.
+void ListService::Take(std::uint64_t version, std::string bytes, Duration age) {
+  const std::scoped_lock lock(this->mutex);
+  if (version < this->list.version || version == 0) {
+    return;
+  }
+  if (version != this->list.version) {
+    this->list.version = version;
+    this->list.bytes = std::move(bytes);
+  }
+  this->read_at = this->clock.Now() - age;
+}
+
+}  // namespace masticrill::control
--- a/src/control/rpc_service.cc
+++ b/src/control/rpc_service.cc
@@ -51,6 +51,7 @@
     case net::MessageType::kFormRequest:
     case net::MessageType::kFleetRequest:
     case net::MessageType::kMemberRequest:
+    case net::MessageType::kSharedListRequest:
       if (channel->Peer().role == net::NodeRole::kControl) {
         return this->AnswerReplica(channel, frame);
       }
@@ -77,6 +78,12 @@
                   net::FleetReply{this->parts.nodes.Reports(SystemClock().Now())});
     return {};
   }
+  if (frame.type == net::MessageType::kSharedListRequest) {
+    BOOST_LEAF_AUTO(asked, net::DecodePayload<net::SharedListRequest>(frame.payload));
+    channel->Send(frame.correlation,
+                  net::SharedListReply{this->parts.lists.Read(asked.known_version)});
+    return {};
+  }
   BOOST_LEAF_AUTO(request, net::DecodePayload<net::MemberRequest>(frame.payload));
   BOOST_LEAF_AUTO(message, this->parts.members.ChangeAsLeader(request));
   channel->Send(frame.correlation, net::MemberReply{message});
--- a/src/control/rpc_service.h
+++ b/src/control/rpc_service.h
@@ -6,6 +6,7 @@
 #include "control/address_book.h"
 #include "control/formation.h"
 #include "control/lease_service.h"
+#include "control/list_service.h"
 #include "control/member_service.h"
 #include "control/node_registry.h"
 #include "control/proposer.h"
@@ -24,6 +25,7 @@
   Formation& formation;
   MemberService& members;
   AddressBook& addresses;
+  const ListService& lists;
   /// Threads that send the answers to proposals, so that a slow reader stops no replica.
   std::shared_ptr<WorkerLanes> reply_lanes;
 };
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -143,19 +143,19 @@
   this->link =
       std::make_shared<node::ControlLink>(this->options.control_addresses, credentials,
                                           net::ChannelLimits{.connect_timeout = kConnectTimeout});
+  this->lists =
+      std::make_unique<ListKeeper>(std::move(read_list), this->pool, this->options.list_interval);
+  node::LeaseKeeper::Extras extras{
+      this->options.renew_interval, [this] { return this->ReportRollouts(); },
+      this->options.load_address,
+      [this](const std::string& bytes, Duration age) { this->lists->OnShared(bytes, age); }};
   this->leases = std::make_unique<node::LeaseKeeper>(
       this->link, credentials.self, this->options.shown_address,
-      [this](const config::ConfigurationPtr& configuration, TimePoint) {
+      [this](const config::ConfigurationPtr& configuration, const node::LeaseNews& news) {
+        this->pool.SetEntryCount(news.entry_count);
         this->OnLease(configuration);
       },
-      this->options.renew_interval, [this] { return this->ReportRollouts(); },
-      this->options.load_address);
-  this->lists = std::make_unique<ListKeeper>(
-      [this, read_list = std::move(read_list)] {
-        this->pool.SetEntryCount(this->leases->EntryCount());
-        return read_list();
-      },
-      this->pool, this->options.list_interval);
+      std::move(extras));
   if (!this->options.load_address.empty()) {
     BOOST_LEAF_ASSIGN(
         this->loads,
--- a/src/gateway/list_keeper.cc
+++ b/src/gateway/list_keeper.cc
@@ -1,5 +1,6 @@
 #include "gateway/list_keeper.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "masticrill/common/log.h"
@@ -8,6 +9,9 @@
 namespace {
 
 constexpr Logger kLog(LogPart::kGateway);
+/// A shared list that is older is not waited for: the interval at which it is read, and the ways
+/// from the leader through another control host to here.
+constexpr Duration kSharedListLifetime = milliseconds(1800);
 
 }  // namespace
 
@@ -33,12 +37,35 @@
   std::unique_lock lock(this->mutex);
   while (!this->stopped) {
     lock.unlock();
-    this->ReadOnce();
+    if (this->clock.Now() - this->shared_at.load() > kSharedListLifetime) {
+      this->ReadOnce();
+    }
     lock.lock();
     this->stopping.wait_for(lock, this->interval, [this] { return this->stopped; });
   }
 }
 
+void ListKeeper::OnShared(const std::string& bytes, Duration age) {
+  const TimePoint now = this->clock.Now();
+  HandleErrors(
+      [&]() -> Result<bool> {
+        if (!bytes.empty()) {
+          BOOST_LEAF_AUTO(list, DecodeUpstreamList(bytes));
+          for (ListedUpstream& upstream : list) {
+            const milliseconds since = duration_cast<milliseconds>(age);
+            upstream.cold_left = std::max(upstream.cold_left - since, milliseconds(0));
+          }
+          this->pool.SetList(list, now);
+        }
+        this->shared_at = now - age;
+        return true;
+      },
+      [](const Error& error) {
+        kLog.Warning("The shared list of upstreams cannot be read.", {{"cause", error.message}});
+        return false;
+      });
+}
+
 void ListKeeper::ReadOnce() {
   const bool read = HandleErrors(
       [&]() -> Result<bool> {
--- a/src/gateway/list_keeper.h
+++ b/src/gateway/list_keeper.h
@@ -1,6 +1,7 @@
 #ifndef MASTICRILL_GATEWAY_LIST_KEEPER_H_
 #define MASTICRILL_GATEWAY_LIST_KEEPER_H_
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -11,8 +12,8 @@
 
 namespace masticrill::gateway {
 
-/// Reads the list of upstreams again and again, and hands it to the pool. A read that fails leaves
-/// the list as it was.
+/// Hands the list of upstreams to the pool: the one that control hosts share, and while that is not
+/// to be had, one that it reads itself. A read that fails leaves the list as it was.
 class ListKeeper {
  public:
   /// The pool outlives the keeper.
@@ -21,6 +22,9 @@
   ListKeeper(const ListKeeper&) = delete;
   ListKeeper& operator=(const ListKeeper&) = delete;
 
+  /// Takes the shared list, which was read `age` ago; no bytes stand for an unchanged one.
+  void OnShared(const std::string& bytes, Duration age);
+
   void Stop();
 
  private:
@@ -32,6 +36,8 @@
   Duration interval;
   SystemClock clock;
   bool failing = false;
+  /// When the shared list was read last.
+  std::atomic<TimePoint> shared_at = TimePoint();
   std::mutex mutex;
   std::condition_variable stopping;
   bool stopped = false;
--- a/src/net/socket_stream.cc
+++ b/src/net/socket_stream.cc
@@ -16,7 +16,8 @@
 namespace masticrill::net {
 namespace {
 
-constexpr std::size_t kReadBlockBytes = 16384;
+/// On the stack of each connection's thread, whose memory stays touched.
+constexpr std::size_t kReadBlockBytes = 4096;
 
 int ToPollTimeout(TimePoint deadline) {
   const Duration left = deadline - SystemClock().Now();
--- a/src/node/lease_keeper.cc
+++ b/src/node/lease_keeper.cc
@@ -16,15 +16,17 @@
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(std::shared_ptr<ControlLink> link, net::Identity self, std::string address,
-                         LeaseHandler on_lease, Duration renew_interval,
-                         RolloutReporter report_rollouts, std::string load_address)
+                         LeaseHandler on_lease)
+    : LeaseKeeper(std::move(link), std::move(self), std::move(address), std::move(on_lease),
+                  Extras{}) {}
+
+LeaseKeeper::LeaseKeeper(std::shared_ptr<ControlLink> link, net::Identity self, std::string address,
+                         LeaseHandler on_lease, Extras extras)
     : link(std::move(link)),
       self(std::move(self)),
       address(std::move(address)),
       on_lease(std::move(on_lease)),
-      renew_interval(renew_interval),
-      report_rollouts(std::move(report_rollouts)),
-      load_address(std::move(load_address)),
+      extras(std::move(extras)),
       started_at_ms(static_cast<std::uint64_t>(this->clock.WallNow())) {
   this->thread = std::thread([this] { this->Run(); });
 }
@@ -63,7 +65,8 @@
     lock.unlock();
     this->Renew();
     lock.lock();
-    const Duration pause = this->was_granted ? this->renew_interval : Duration(kRetryInterval);
+    const Duration pause =
+        this->was_granted ? this->extras.renew_interval : Duration(kRetryInterval);
     this->stopping.wait_for(lock, pause, [this] { return this->stopped; });
   }
 }
@@ -76,9 +79,10 @@
                             this->address,
                             this->started_at_ms,
                             {}};
-  request.load_address = this->load_address;
-  if (this->report_rollouts) {
-    request.rollouts = this->report_rollouts();
+  request.load_address = this->extras.load_address;
+  request.known_list_version = this->list_version;
+  if (this->extras.report_rollouts) {
+    request.rollouts = this->extras.report_rollouts();
   }
   config::LeaseRequestId request_id = 0;
   {
@@ -117,12 +121,15 @@
     kLog.Info("Leases are granted again.", {{"number", reply.number}});
     this->last_refusal.clear();
   }
-  this->entry_count = std::max<std::uint32_t>(reply.entry_count, 1);
   {
     const std::lock_guard lock(this->mutex);
     this->load_addresses = reply.load_addresses;
   }
   this->link->Add(reply.control_hosts);
+  if (this->extras.on_list && reply.list.version != 0) {
+    this->list_version = reply.list.version;
+    this->extras.on_list(reply.list.bytes, milliseconds(reply.list.age_ms));
+  }
   config::ConfigurationPtr received;
   if (reply.delta) {
     const bool applied = HandleErrors(
@@ -158,7 +165,7 @@
     kLog.Info("Configuration in force.", {{"number", current->number}});
   }
   if (valid_until) {
-    this->on_lease(current, *valid_until);
+    this->on_lease(current, {*valid_until, std::max<std::uint32_t>(reply.entry_count, 1)});
   }
   return true;
 }
--- a/src/sidecar/sidecar_server.cc
+++ b/src/sidecar/sidecar_server.cc
@@ -83,8 +83,8 @@
     this->sender = std::make_unique<node::CommandSender>(this->link);
     this->lease = std::make_unique<node::LeaseKeeper>(
         this->link, credentials.self, this->rpc->Address(),
-        [this](const config::ConfigurationPtr& configuration, TimePoint valid_until) {
-          this->OnLease(configuration, valid_until);
+        [this](const config::ConfigurationPtr& configuration, const node::LeaseNews& news) {
+          this->OnLease(configuration, news.valid_until);
         });
     this->ticker = std::thread([this] { this->Tick(); });
     this->reporter = std::thread([this] { this->ReportReceipts(); });
