--- a/src/gateway/list_keeper.cc
+++ b/src/gateway/list_keeper.cc
@@ -37,7 +37,7 @@
   std::unique_lock lock(this->mutex);
   while (!this->stopped) {
     lock.unlock();
-    if (this->clock.Now() - this->shared_at.load() > kSharedListLifetime) {
+    if (!this->SharedIsFresh()) {
       this->ReadOnce();
     }
     lock.lock();
@@ -45,8 +45,14 @@
   }
 }
 
+bool ListKeeper::SharedIsFresh() {
+  const std::scoped_lock lock(this->list_mutex);
+  return this->clock.Now() - this->shared_at <= kSharedListLifetime;
+}
+
 void ListKeeper::OnShared(const std::string& bytes, Duration age) {
   const TimePoint now = this->clock.Now();
+  const std::scoped_lock lock(this->list_mutex);
   HandleErrors(
       [&]() -> Result<bool> {
         if (!bytes.empty()) {
@@ -70,7 +76,10 @@
   const bool read = HandleErrors(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(list, this->read_list());
-        this->pool.SetList(list, this->clock.Now());
+        const std::scoped_lock lock(this->list_mutex);
+        if (this->clock.Now() - this->shared_at > kSharedListLifetime) {
+          this->pool.SetList(list, this->clock.Now());
+        }
         return true;
       },
       [&](const Error& error) {
--- a/src/gateway/list_keeper.h
+++ b/src/gateway/list_keeper.h
@@ -1,7 +1,6 @@
 #ifndef MASTICRILL_GATEWAY_LIST_KEEPER_H_
 #define MASTICRILL_GATEWAY_LIST_KEEPER_H_
 
-#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -29,6 +28,7 @@
 
  private:
   void Run();
+  bool SharedIsFresh();
   void ReadOnce();
 
   UpstreamListReader read_list;
@@ -36,8 +36,10 @@
   Duration interval;
   SystemClock clock;
   bool failing = false;
+  /// Held while a list goes to the pool, so that an own reading never replaces a newer shared one.
+  std::mutex list_mutex;
   /// When the shared list was read last.
-  std::atomic<TimePoint> shared_at = TimePoint();
+  TimePoint shared_at;
   std::mutex mutex;
   std::condition_variable stopping;
   bool stopped = false;
--- /dev/null
+++ b/test/gateway/load_exchange_test.cc
@@ -0,0 +1,59 @@
+#include "gateway/load_exchange.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+#include "masticrill/common/result.h"
+
+namespace masticrill::gateway {
+namespace {
+
+bool IsAccepted(const std::string& datagram, const LoadNotice& expected) {
+  return HandleErrors(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(notice, DecodeNotice(datagram, "secret"));
+        return notice == expected;
+      },
+      [](const Error&) { return false; });
+}
+
+TEST_CASE("a notice arrives as it was sent, and nothing else is taken for one") {
+  const LoadNotice notice{NodeId("entry-1"), 7, {{UpstreamId("u"), 1500.5, 3}}};
+  const std::string datagram = EncodeNotice(notice, "secret");
+  CHECK(IsAccepted(datagram, notice));
+  CHECK_FALSE(IsAccepted(EncodeNotice(notice, "other secret"), notice));
+  CHECK_FALSE(IsAccepted("", notice));
+  for (std::size_t size = 0; size < datagram.size(); ++size) {
+    CHECK_FALSE(IsAccepted(datagram.substr(0, size), notice));
+  }
+  for (std::size_t place = 0; place < datagram.size(); ++place) {
+    std::string spoiled = datagram;
+    spoiled[place] = static_cast<char>(spoiled[place] ^ 1);
+    CHECK_FALSE(IsAccepted(spoiled, notice));
+  }
+}
+
+TEST_CASE("an entry tells a bounded number of others, and each is told by some") {
+  constexpr std::size_t kFleet = 60;
+  constexpr std::size_t kPeers = 8;
+  std::vector<std::string> all;
+  for (std::size_t number = 0; number < kFleet; ++number) {
+    all.push_back("10.0.0." + std::to_string(number) + ":7000");
+  }
+  std::set<std::string> told;
+  for (const std::string& own : all) {
+    const std::vector<std::string> peers = ChoosePeers(own, all, kPeers);
+    CHECK(peers.size() == kPeers);
+    for (const std::string& peer : peers) {
+      CHECK(peer != own);
+      told.insert(peer);
+    }
+  }
+  CHECK(told.size() == kFleet);
+  CHECK(ChoosePeers(all[0], {all[0], all[1]}, kPeers) == std::vector<std::string>{all[1]});
+}
+
+}  // namespace
+}  // namespace masticrill::gateway
--- /dev/null
+++ b/test/gateway/upstream_list_test.cc
@@ -0,0 +1,62 @@
+#include "masticrill/gateway/upstream_list.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "gateway/list_keeper.h"
+
+namespace masticrill::gateway {
+namespace {
+
+ListedUpstream Cold(const std::string& id) {
+  ListedUpstream upstream;
+  upstream.id = UpstreamId(id);
+  upstream.service = ServiceId("s");
+  upstream.address = "127.0.0.1:1";
+  upstream.failure_domain = FailureDomainId("d");
+  upstream.version = VersionId("v1");
+  upstream.slots = 8;
+  upstream.leaving = true;
+  upstream.cold_left = milliseconds(1500);
+  upstream.started_at = 123;
+  return upstream;
+}
+
+UpstreamList Decode(const std::string& bytes) {
+  return HandleErrors([&] { return DecodeUpstreamList(bytes); },
+                      [](const Error&) { return UpstreamList(); });
+}
+
+TEST_CASE("a shared list arrives as it was read, or not at all") {
+  const UpstreamList list = {Cold("a"), Cold("b")};
+  const std::string bytes = EncodeUpstreamList(list);
+  CHECK(Decode(bytes) == list);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK(Decode(bytes.substr(0, size)).empty());
+  }
+}
+
+TEST_CASE("an entry reads the list itself only while no shared one comes") {
+  UpstreamPool pool(PoolSettings{.own_domain = FailureDomainId("d")}, Random(1));
+  std::atomic<int> reads = 0;
+  ListKeeper keeper(
+      [&]() -> Result<UpstreamList> {
+        ++reads;
+        return UpstreamList{Cold("own")};
+      },
+      pool, milliseconds(1));
+  const TimePoint end = SystemClock().Now() + seconds(30);
+  while (reads < 3 && SystemClock().Now() < end) {
+    std::this_thread::yield();
+  }
+  CHECK(reads >= 3);
+  keeper.OnShared(EncodeUpstreamList({Cold("a"), Cold("b")}), Duration::zero());
+  CHECK(pool.UpstreamCount() == 2);
+  // Not read whole: the list stays as it was.
+  keeper.OnShared("nonsense", Duration::zero());
+  CHECK(pool.UpstreamCount() == 2);
+}
+
+}  // namespace
+}  // namespace masticrill::gateway
--- /dev/null
+++ b/test/platform/edge_test.cc
@@ -0,0 +1,126 @@
+#include "platform/edge.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace masticrill::platform {
+namespace {
+
+using net::HeaderField;
+
+std::size_t CountOf(const std::vector<HeaderField>& fields, std::string_view name) {
+  return static_cast<std::size_t>(std::count_if(
+      fields.begin(), fields.end(),
+      [&](const HeaderField& field) { return net::EqualIgnoringCase(field.name, name); }));
+}
+
+TEST_CASE("a caller's fields are read, and nonsense in them is not believed") {
+  const gateway::EdgeProtocol edge = PlatformEdge();
+  const gateway::CallFacts facts =
+      edge.read_call({"POST",
+                      "/",
+                      true,
+                      {{"x-request-id", "r1"},
+                       {"X-Deadline-Ms", "900"},
+                       {"Authorization", "Bearer key"},
+                       {"X-Model", "*"},
+                       {"X-Token-Count", "1460,80"},
+                       {"X-Prompt-Prefix", "a:800, b:410,bad,c:250"}}});
+  CHECK(facts.request == RequestId("r1"));
+  CHECK(facts.time_left == milliseconds(900));
+  CHECK(facts.key == "key");
+  CHECK(facts.any_model);
+  CHECK(facts.prompt_tokens == 1460);
+  CHECK(facts.max_output_tokens == 80);
+  CHECK(facts.prompt == std::vector<gateway::PromptPart>{{"a", 800}, {"b", 410}, {"c", 250}});
+
+  const gateway::CallFacts odd =
+      edge.read_call({"POST",
+                      "/",
+                      true,
+                      {{"X-Deadline-Ms", "-5"}, {"Authorization", "Basic x"}, {"X-Model", "m"}}});
+  CHECK_FALSE(odd.time_left);
+  CHECK(odd.key.empty());
+  CHECK_FALSE(odd.any_model);
+}
+
+TEST_CASE("what only the system may set is never passed on from a caller") {
+  const gateway::EdgeProtocol edge = PlatformEdge();
+  gateway::AttemptOrder order;
+  order.upstream = UpstreamId("i-1");
+  order.team = TeamId("team");
+  order.time_left = milliseconds(700);
+  order.model = ModelId("m2");
+  order.rank = 12;
+  order.after_event = "5";
+  const std::vector<HeaderField> sent = edge.write_attempt({"POST",
+                                                            "/",
+                                                            true,
+                                                            {{"Host", "h"},
+                                                             {"X-Request-Id", "r1"},
+                                                             {"authorization", "Bearer key"},
+                                                             {"X-TENANT", "forged"},
+                                                             {"X-Target-Instance", "forged"},
+                                                             {"X-Hold", "forged"},
+                                                             {"X-Pin-Ms", "forged"},
+                                                             {"X-Kv-Backup", "forged"},
+                                                             {"Kv-From", "forged"},
+                                                             {"Kv-Fetch", "forged"},
+                                                             {"X-Request-Priority", "forged"},
+                                                             {"X-Deadline-Ms", "9999999"},
+                                                             {"X-Model", "*"},
+                                                             {"Last-Event-Id", "2"},
+                                                             {"Connection", "X-Hop"},
+                                                             {"X-Hop", "1"},
+                                                             {"X-Own", "kept"}}},
+                                                           order);
+  for (const HeaderField& field : sent) {
+    CAPTURE(field.name);
+    CHECK(field.value != "forged");
+  }
+  for (const char* name : {"authorization", "X-Hold", "X-Hop", "Connection", "Kv-From"}) {
+    CHECK(CountOf(sent, name) == 0);
+  }
+  CHECK(net::FindHeader(sent, "X-Tenant") == "team");
+  CHECK(net::FindHeader(sent, "X-Target-Instance") == "i-1");
+  CHECK(net::FindHeader(sent, "X-Deadline-Ms") == "700");
+  CHECK(net::FindHeader(sent, "X-Model") == "m2");
+  CHECK(net::FindHeader(sent, "X-Request-Priority") == "9");
+  CHECK(net::FindHeader(sent, "Last-Event-Id") == "5");
+  CHECK(net::FindHeader(sent, "X-Own") == "kept");
+  for (const char* name : {"X-Tenant", "X-Deadline-Ms", "X-Model", "Last-Event-Id"}) {
+    CHECK(CountOf(sent, name) == 1);
+  }
+}
+
+TEST_CASE("a caller's own model and event stay where the system has no word on them") {
+  const gateway::EdgeProtocol edge = PlatformEdge();
+  const std::vector<HeaderField> sent =
+      edge.write_attempt({"POST", "/", true, {{"X-Model", "m"}, {"Last-Event-Id", "2"}}}, {});
+  CHECK(net::FindHeader(sent, "X-Model") == "m");
+  CHECK(net::FindHeader(sent, "Last-Event-Id") == "2");
+  CHECK(CountOf(sent, "X-Tenant") == 0);
+}
+
+TEST_CASE("an answer says whether it ran, whose it is and how sure its model is") {
+  const gateway::EdgeProtocol edge = PlatformEdge();
+  const auto facts = [&](int status, std::vector<HeaderField> headers) {
+    return edge.read_answer({status, true, std::move(headers)});
+  };
+  CHECK(facts(503, {{"X-Not-Executed", "1"}}).not_run);
+  CHECK_FALSE(facts(503, {}).not_run);
+  CHECK(facts(421, {}).other_upstream);
+  CHECK(facts(200, {{"X-Response-Signature", "s"}}).is_signed);
+  CHECK(facts(200, {{"X-Request-Id", "r"}}).request == RequestId("r"));
+  CHECK(facts(200, {{"X-Instance-Load", "3,0,8"}}).load == gateway::LoadReport{3, 0, 8});
+  CHECK_FALSE(facts(200, {{"X-Instance-Load", "3,x"}}).load);
+  CHECK(facts(200, {{"X-Confidence", "40"}}).confidence == doctest::Approx(0.4));
+  CHECK_FALSE(facts(200, {{"X-Confidence", "very"}}).confidence);
+  CHECK(facts(200, {{"X-Cold-Ms", "900"}}).cold_left == milliseconds(900));
+}
+
+}  // namespace
+}  // namespace masticrill::platform
--- /dev/null
+++ b/test/platform/platform_settings_test.cc
@@ -0,0 +1,84 @@
+#include "platform/platform_settings.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticrill::platform {
+namespace {
+
+const std::string kGood =
+    "NodeName=host-1\nRole=any\nIp=10.1.0.19\nZone=north\nRegion=land\nZones.north=land\n"
+    "Zones.south=land\nListen.Front=10.1.0.19:8227\nListen.Ready=10.1.0.19:8220\n"
+    "Listen.Control=10.1.0.19:8229\nInternalPorts=7340,7355\n"
+    "Seeds=10.1.0.19:8229, 10.2.0.36:8229\nBootstrap=true\nLimits.MemoryMb=110\n"
+    "DataDir=/data/x\nCloudApi.Address=10.200.0.61:8223\nCloudApi.RatePerS=42.0\n"
+    "Bounds.GraceS=8\nBounds.SessionS=5\n";
+
+/// The message of the error, or "" for settings that are read.
+std::string FaultOf(const std::string& text) {
+  return HandleErrors(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(ParsePlatformSettings("boot.conf", text));
+        return std::string();
+      },
+      [](const Error& error) { return error.message; });
+}
+
+PlatformSettings Parse(const std::string& text) {
+  return HandleErrors([&] { return ParsePlatformSettings("boot.conf", text); },
+                      [](const Error&) { return PlatformSettings(); });
+}
+
+/// The good text with one line replaced; an empty line removes it.
+std::string With(const std::string& field, const std::string& line) {
+  const std::size_t begin = kGood.find(field + "=");
+  const std::size_t end = kGood.find('\n', begin);
+  return kGood.substr(0, begin) + line + kGood.substr(end);
+}
+
+TEST_CASE("the file of the platform is read into the project's words") {
+  const PlatformSettings settings = Parse(kGood);
+  CHECK(settings.host_name == "host-1");
+  CHECK(settings.failure_domain == FailureDomainId("north"));
+  CHECK(settings.regions.size() == 2);
+  CHECK(settings.internal_port == 7340);
+  CHECK(settings.seeds == std::vector<std::string>{"10.1.0.19:8229", "10.2.0.36:8229"});
+  CHECK(settings.is_first_start);
+  CHECK(settings.stop_grace == seconds(8));
+  CHECK(InternalAddress(settings, settings.seeds[1]) == "10.2.0.36:7340");
+  CHECK(OwnInternalAddress(settings) == "10.1.0.19:7340");
+}
+
+TEST_CASE("unknown fields, comments and lines without a value are ignored") {
+  CHECK(Parse(kGood + "New.Field=1\n# a comment\nnonsense\n\n") == Parse(kGood));
+}
+
+TEST_CASE("a needed field that is missing or impossible is named") {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"NodeName", ""},
+      {"Ip", "Ip=nowhere"},
+      {"Zone", ""},
+      {"InternalPorts", "InternalPorts=x"},
+      {"InternalPorts", "InternalPorts=70000,70001"},
+      {"Seeds", ""},
+      {"Seeds", "Seeds=10.1.0.19"},
+      {"Listen.Front", "Listen.Front=10.1.0.19:x"},
+      {"Bootstrap", "Bootstrap=perhaps"},
+      {"Limits.MemoryMb", "Limits.MemoryMb=-1"},
+      {"Bounds.GraceS", "Bounds.GraceS=soon"},
+      {"CloudApi.RatePerS", "CloudApi.RatePerS=nan"},
+  };
+  for (const auto& [field, line] : cases) {
+    CAPTURE(line);
+    const std::string fault = FaultOf(With(field, line));
+    CHECK(fault.find("boot.conf") == 0);
+    CHECK(fault.find(field) != std::string::npos);
+  }
+  CHECK(FaultOf(kGood).empty());
+}
+
+}  // namespace
+}  // namespace masticrill::platform
