--- a/src/control/rollout_keeper.h
+++ b/src/control/rollout_keeper.h
@@ -20,6 +20,8 @@
 struct RolloutEvidence {
   routing::VersionEvidence candidate;
   routing::VersionEvidence baseline;
+
+  friend bool operator==(const RolloutEvidence&, const RolloutEvidence&) = default;
 };
 
 /// Joins the latest reports of all entries on a service's roll-out to that target.
--- /dev/null
+++ b/test/control/rollout_keeper_test.cc
@@ -0,0 +1,62 @@
+#include "control/rollout_keeper.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+
+namespace masticrill::control {
+namespace {
+
+const ServiceId kService("s");
+const VersionId kTarget("v2");
+
+routing::VersionEvidence Evidence(std::uint64_t trials, std::uint64_t bad) {
+  routing::VersionEvidence evidence;
+  evidence.domains[FailureDomainId("d")].counts.at(
+      static_cast<std::size_t>(routing::EvidenceKind::kErrors)) = {trials, bad};
+  return evidence;
+}
+
+net::NodeReport Report(const std::string& node, std::uint64_t trials, std::uint64_t bad,
+                       std::int64_t age_ms = 0) {
+  net::NodeReport report;
+  report.node = NodeId(node);
+  report.age_ms = age_ms;
+  report.rollouts.push_back({kService, kTarget, Evidence(trials, bad), Evidence(100, 0)});
+  return report;
+}
+
+config::ServiceRollout Running() {
+  return {kTarget, milliseconds(20'000), 0, config::ServiceRolloutState::kRunning, ""};
+}
+
+RolloutVerdict VerdictAt(const std::vector<net::NodeReport>& reports, WallTimeMs now) {
+  return JudgeServiceRollout(Running(), JoinEvidence(reports, kService, kTarget), {}, now).verdict;
+}
+
+TEST_CASE("bad answers that no entry alone would judge stop a roll-out together") {
+  // Pattern: a bad version under a small trial share, seen by many entries a few times each.
+  std::vector<net::NodeReport> reports;
+  for (int entry = 0; entry < 8; ++entry) {
+    reports.push_back(Report("e" + std::to_string(entry), 4, 2));
+  }
+  CHECK(VerdictAt({reports.front()}, 12'000) == RolloutVerdict::kGoOn);
+  CHECK(VerdictAt(reports, 12'000) == RolloutVerdict::kRollBack);
+}
+
+TEST_CASE("a good candidate is completed when its time has come, and not untried") {
+  const std::vector<net::NodeReport> tried = {Report("e1", 20, 0), Report("e2", 20, 0)};
+  CHECK(VerdictAt(tried, 12'000) == RolloutVerdict::kGoOn);
+  CHECK(VerdictAt(tried, 18'500) == RolloutVerdict::kComplete);
+  CHECK(VerdictAt({Report("e1", 0, 0)}, 18'500) == RolloutVerdict::kGoOn);
+  CHECK(VerdictAt({}, 18'500) == RolloutVerdict::kGoOn);
+}
+
+TEST_CASE("reports on another target, and of entries that are gone, do not count") {
+  const RolloutEvidence other = JoinEvidence({Report("e1", 50, 50)}, kService, VersionId("v3"));
+  CHECK(other == RolloutEvidence{});
+  CHECK(JoinEvidence({Report("e1", 50, 50, 60'000)}, kService, kTarget) == RolloutEvidence{});
+}
+
+}  // namespace
+}  // namespace masticrill::control
