Write logs on a queue of their own: a reader that stops blocked every request

Cause: found by the process test of the platform's programs, which read no output: after 64 KB in the pipe every thread that logged was blocked.

--- a/include/masticrill/common/log.h
+++ b/include/masticrill/common/log.h
@@ -1,6 +1,7 @@
 #ifndef MASTICRILL_COMMON_LOG_H_
 #define MASTICRILL_COMMON_LOG_H_
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
@@ -52,12 +53,21 @@
   LogLevel level = LogLevel::kInfo;
   /// One JSON object per line instead of text.
   bool json = false;
+  /// Write on a thread of its own, so that a reader that stops holds up nothing. Lines beyond a
+  /// bound are dropped, those of low levels first, and counted.
+  bool queued = false;
 };
 
 /// Sets the level and the form of all log lines. Called once, before any thread is started.
 void ConfigureLog(const LogOptions& options);
 
-/// Writes the log lines of one part, to standard error.
+/// Lines that were dropped because their reader was too slow.
+std::uint64_t DroppedLogLines();
+
+/// Waits until the queued lines are written, at most for that time. Called before a process ends.
+void FlushLog(std::chrono::milliseconds timeout);
+
+/// Writes the log lines of one part, to standard output.
 class Logger {
  public:
   using Fields = std::initializer_list<LogField>;
--- a/src/cli/role_process.h
+++ b/src/cli/role_process.h
@@ -47,6 +47,8 @@
   std::cout << describe(*server) << std::endl;
   WaitForTermination();
   server->Stop();
+  constexpr std::chrono::milliseconds kLogFlushTime{200};
+  FlushLog(kLogFlushTime);
   return kExitSuccess;
 }
 
--- a/src/common/role_settings.cc
+++ b/src/common/role_settings.cc
@@ -83,6 +83,7 @@
        {"error", LogLevel::kError}}};
   LogOptions options;
   options.json = settings.Boolean(kLogSection, "json");
+  options.queued = true;
   for (const auto& [name, level] : kLevels) {
     if (settings.Text(kLogSection, "level") == name) {
       options.level = level;
