Grant leases on fresh evidence only: a cut-off control host kept entries on an old configuration

Ruled out: the entry's renewals (each 0.5 s), the parse of the declaration. Change: evidence is asked for each 300 ms and grants no lease when it is older than 1 s; leases last as long as before.

--- a/src/control/lease_service.cc
+++ b/src/control/lease_service.cc
@@ -8,6 +8,12 @@
 /// How soon to look again while no leader is known. Nobody is asked then.
 constexpr Duration kNoLeaderPause = milliseconds(50);
 
+/// How often a leader's quorum is confirmed to this host, and the age from which the confirmation
+/// grants no lease. A host that is cut off keeps no node on an old configuration for longer; other
+/// hosts grant leases that last no shorter.
+constexpr Duration kEvidenceInterval = milliseconds(300);
+constexpr Duration kFreshEvidence = seconds(1);
+
 std::string MessageFor(LeaseDecision decision) {
   switch (decision) {
     case LeaseDecision::kGranted:
@@ -92,7 +98,7 @@
     const std::scoped_lock lock(this->evidence->mutex);
     grant = this->evidence->granter.Grant(this->clock.Now(), number);
   }
-  if (!grant) {
+  if (!grant || grant->length < config::kLeaseLength - kFreshEvidence) {
     decision = LeaseDecision::kNoQuorumEvidence;
     return {};
   }
@@ -145,7 +151,7 @@
     const std::scoped_lock lock(evidence->mutex);
     evidence->granter.OnEvidence(request, state.Configuration()->number);
   });
-  return config::kLeaseRenewInterval;
+  return kEvidenceInterval;
 }
 
 }  // namespace masticrill::control
