--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -69,6 +69,8 @@
   ChoiceReason reason = ChoiceReason::kNone;
   /// What was counted as waiting there, for OnStarted.
   double work = 0;
+  /// The work that stood before it.
+  double load = 0;
   /// When there is room at a cold upstream again, with kColdLimit.
   Duration retry_after{0};
 };
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -234,7 +234,11 @@
   }
 };
 
-enum class MemberAction : std::uint8_t { kAdd, kRemove };
+enum class MemberAction : std::uint8_t {
+  kAdd,
+  kRemove,
+  kJoin,  // Adds the sender itself, in the place of what its node was before it lost its disk.
+};
 
 /// Control replica to the leader: change the group of replicas.
 struct MemberRequest {
--- a/src/control/joiner.cc
+++ b/src/control/joiner.cc
@@ -42,7 +42,7 @@
   return HandleErrors(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(reply, client->Call<net::MemberReply>(
-                                   net::MemberRequest{net::MemberAction::kAdd, this->options.node,
+                                   net::MemberRequest{net::MemberAction::kJoin, this->options.node,
                                                       this->options.rpc_address},
                                    kCallTimeout));
         kLog.Info("The group takes this replica in.",
--- a/src/control/lease_service.cc
+++ b/src/control/lease_service.cc
@@ -64,9 +64,18 @@
 }
 
 bool LeaseService::HasEvidence() const {
+  return this->FreshGrant(this->state.Configuration()->number).has_value();
+}
+
+/// The lease that this host could grant now; nothing while its evidence is not fresh.
+std::optional<config::LeaseGrant> LeaseService::FreshGrant(config::Number number) const {
   const std::scoped_lock lock(this->evidence->mutex);
-  return this->evidence->granter.Grant(this->clock.Now(), this->state.Configuration()->number)
-      .has_value();
+  std::optional<config::LeaseGrant> grant =
+      this->evidence->granter.Grant(this->clock.Now(), number);
+  if (grant && grant->length < config::kLeaseLength - kFreshEvidence) {
+    grant.reset();
+  }
+  return grant;
 }
 
 void LeaseService::SetFleet(FleetFacts facts) {
@@ -93,12 +102,8 @@
     return {};
   }
   config::Number number = this->state.Configuration()->number;
-  std::optional<config::LeaseGrant> grant;
-  {
-    const std::scoped_lock lock(this->evidence->mutex);
-    grant = this->evidence->granter.Grant(this->clock.Now(), number);
-  }
-  if (!grant || grant->length < config::kLeaseLength - kFreshEvidence) {
+  const std::optional<config::LeaseGrant> grant = this->FreshGrant(number);
+  if (!grant) {
     decision = LeaseDecision::kNoQuorumEvidence;
     return {};
   }
--- a/src/control/lease_service.h
+++ b/src/control/lease_service.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string_view>
 
 #include "control/list_service.h"
@@ -74,6 +75,7 @@
   };
 
   Duration AskForEvidence();
+  std::optional<config::LeaseGrant> FreshGrant(config::Number number) const;
   net::LeaseReply Refuse(LeaseDecision decision) const;
   net::LeaseReply Decide(const net::LeaseRequest& request, LeaseDecision& decision) const;
 
--- a/src/control/member_service.cc
+++ b/src/control/member_service.cc
@@ -67,7 +67,7 @@
   if (this->replica.Status().replica.role != consensus::Role::kLeader) {
     return Fail(ToError(consensus::RejectReason::kNotLeader));
   }
-  return request.action == net::MemberAction::kAdd ? this->Add(request) : this->Remove(request);
+  return request.action == net::MemberAction::kRemove ? this->Remove(request) : this->Add(request);
 }
 
 /// Asks the replica for the identity of its data folder and adds it as a learner.
@@ -83,11 +83,12 @@
   this->addresses.Set(request.node, request.address);
   const consensus::ReplicaId replica{reply.node, storage::ReplicaIdentity(reply.identity)};
   const consensus::Membership membership = this->replica.Status().replica.membership;
-  if (membership.IsMember(replica)) {
+  const bool joins = request.action == net::MemberAction::kJoin;
+  if (joins && membership.IsMember(replica)) {
     return request.node.Value() + " is a member already.";
   }
   if (const consensus::ReplicaId* former = membership.FindNode(request.node);
-      former != nullptr && !membership.IsRetired(replica.identity)) {
+      joins && former != nullptr && !membership.IsRetired(replica.identity)) {
     // The node lost its data folder: the replica that it was is gone.
     kLog.Info("A replica has come back with an empty data folder; the former one is removed.",
               {{"node", request.node}, {"identity", former->identity}});
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -318,7 +318,7 @@
   if (!pick) {
     return Next::kStop;
   }
-  this->last_upstream = pick->upstream.id;
+  this->last_pick = *pick;
   UpstreamAttempt attempt(*pick, this->parts.protocol, this->parts.pool, this->parts.settings);
   if (!this->owner.team.Empty()) {
     // The lease may have run out while the request waited.
@@ -575,6 +575,13 @@
   this->Note(execution == Execution::kNotRun ? "refused" : "failed", status, ToString(kind));
 }
 
+/// The model of the last attempt where the system chose it.
+std::string CallRunner::LastModel() const {
+  const bool chosen =
+      this->route != nullptr && this->facts.any_model && !this->route->models.empty();
+  return chosen ? this->route->models.at(this->model_step).Value() : "";
+}
+
 void CallRunner::Note(std::string_view outcome, int status, std::string_view reason) {
   const Duration whole = this->clock.Now() - this->arrived_at;
   if (outcome == "answered") {
@@ -592,13 +599,19 @@
              {"route", this->route == nullptr ? "" : this->route->id.Value()},
              {"team", this->owner.team},
              {"service", this->service},
-             {"upstream", this->last_upstream},
+             {"upstream", this->last_pick.upstream.id},
+             {"choice", ToString(this->last_pick.reason)},
+             {"work_ahead", static_cast<std::int64_t>(this->last_pick.load)},
+             {"model", this->LastModel()},
              {"last_attempt", this->last_end},
              {"attempts", this->attempts},
              {"events", this->events.EventCount()},
              {"first_byte_ms",
               this->first_byte ? duration_cast<milliseconds>(*this->first_byte).count() : -1},
              {"total_ms", duration_cast<milliseconds>(whole).count()},
+             {"number", this->view == nullptr || this->view->configuration == nullptr
+                            ? 0
+                            : this->view->configuration->number},
              {"revision", this->view == nullptr ? 0 : this->view->table->revision}});
 }
 
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -97,6 +97,7 @@
   void Judge(UpstreamAttempt& attempt, AttemptEnd end, bool good);
   void Refuse(RefusalKind kind, std::string message,
               std::optional<milliseconds> retry_after = std::nullopt);
+  std::string LastModel() const;
   void Note(std::string_view outcome, int status, std::string_view reason);
   Execution ExecutionSoFar() const;
   TimePoint LatencyBound(double factor) const;
@@ -122,7 +123,7 @@
   /// Granted while the attempt still ran, when its upstream was given up.
   std::optional<routing::RetryDecision> granted_retry;
   EventSplitter events;
-  UpstreamId last_upstream;
+  UpstreamPick last_pick;
   std::string last_end;
   std::optional<Duration> first_byte;
   TimePoint stream_begun_at;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -105,6 +105,7 @@
   /// Refuses new connections from now on: what the listener's queue holds is lost otherwise.
   void StopAccepting();
   void Serve(const Poco::Net::StreamSocket& socket);
+  std::string MetricsText() const;
   net::HttpAnswer AnswerStatus(const net::HttpRequest& request) const;
 
   GatewayOptions options;
@@ -325,6 +326,21 @@
   --this->metrics.connections;
 }
 
+std::string GatewayServer::State::MetricsText() const {
+  const GatewayViewPtr current = this->View();
+  MetricsWriter writer;
+  writer.Gauge("masticrill_gateway_lease_valid", "1 while this node can show its configuration.",
+               this->leases->Check(this->clock.Now()).valid ? 1 : 0);
+  writer.Gauge("masticrill_gateway_configuration_number", "The configuration in force here.",
+               current == nullptr ? 0 : static_cast<double>(current->configuration->number));
+  writer.Gauge("masticrill_gateway_upstreams", "Upstreams in the list.",
+               static_cast<double>(this->pool.UpstreamCount()));
+  writer.Counter("masticrill_log_lines_dropped_total",
+                 "Log lines that were dropped because their reader was too slow.",
+                 DroppedLogLines());
+  return this->metrics.Text() + writer.Text();
+}
+
 net::HttpAnswer GatewayServer::State::AnswerStatus(const net::HttpRequest& request) const {
   constexpr int kOk = 200;
   constexpr int kNotFound = 404;
@@ -334,7 +350,7 @@
                            : net::HttpAnswer{kUnavailable, {}, "not ready\n"};
   }
   if (request.path == "/metrics") {
-    return {kOk, {{"Content-Type", "text/plain; charset=utf-8"}}, this->metrics.Text()};
+    return {kOk, {{"Content-Type", "text/plain; charset=utf-8"}}, this->MetricsText()};
   }
   return {kNotFound, {}, "There is no such path.\n"};
 }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -218,13 +218,13 @@
   std::erase_if(
       found, [&](const Member* member) { return question.excluded.contains(member->listed.id); });
   if (found.empty()) {
-    return {PickStatus::kAllTried, {}, ChoiceReason::kNone, 0, Duration::zero()};
+    return {PickStatus::kAllTried, {}, ChoiceReason::kNone, 0, 0, Duration::zero()};
   }
   found = this->HealthyOrAll(found, now);
   std::erase_if(found, [&](Member* member) { return !this->TakeColdToken(*member, now, false); });
   if (found.empty()) {
     constexpr Duration kColdRetry = milliseconds(50);
-    return {PickStatus::kColdLimit, {}, ChoiceReason::kNone, 0, kColdRetry};
+    return {PickStatus::kColdLimit, {}, ChoiceReason::kNone, 0, 0, kColdRetry};
   }
   std::vector<Candidate> candidates;
   for (const Member* member : found) {
@@ -241,7 +241,12 @@
   ++chosen.in_flight;
   chosen.waiting_work += decision.work;
   chosen.health.OnDispatch(this->settings.health, now);
-  return {PickStatus::kFound, chosen.listed, decision.reason, decision.work, Duration::zero()};
+  return {PickStatus::kFound,
+          chosen.listed,
+          decision.reason,
+          decision.work,
+          candidates.at(*decision.index).load,
+          Duration::zero()};
 }
 
 void UpstreamPool::OnStarted(const UpstreamId& upstream, double work) {
