--- a/include/masticrill/consensus/replica_driver_inl.h
+++ b/include/masticrill/consensus/replica_driver_inl.h
@@ -22,8 +22,8 @@
     this->FailQueue(std::move(taken));
     return;
   }
-  // What arrived while the last turn took long counts before the time that has passed: else a leader
-  // would step down with its quorum's answers unread.
+  // What arrived while the last turn took long counts before the time that has passed: else a
+  // leader would step down with its quorum's answers unread.
   this->StepQueue(std::move(taken));
   this->Step(TickEvent{});
   const std::optional<Error> error = HandleErrors(
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kConnectionFields = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "TE",
+    "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authorization", "TE",
     "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
 
 std::string_view Trim(std::string_view text) {
--- a/src/net/keep_alive.cc
+++ b/src/net/keep_alive.cc
@@ -15,8 +15,7 @@
   socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, kProbeIntervalS);
   socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalS);
   socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, whole_seconds - 1);
-  socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
-                   static_cast<int>(milliseconds(timeout).count()));
+  socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds(timeout).count()));
 }
 
 }  // namespace masticrill::net
--- a/src/net/socket_stream.cc
+++ b/src/net/socket_stream.cc
@@ -25,8 +25,8 @@
     return 0;
   }
   // Rounded up, so that a wait does not end just before its deadline and begin again.
-  return static_cast<int>(std::min<std::int64_t>(
-      duration_cast<milliseconds>(left).count() + 1, std::int64_t{3600} * 1000));
+  return static_cast<int>(std::min<std::int64_t>(duration_cast<milliseconds>(left).count() + 1,
+                                                 std::int64_t{3600} * 1000));
 }
 
 }  // namespace
--- a/src/routing/evidence_table.cc
+++ b/src/routing/evidence_table.cc
@@ -35,8 +35,7 @@
 
 void EvidenceTable::ResetModel(const ModelId& model) {
   const std::lock_guard lock(this->mutex);
-  std::erase_if(this->versions,
-                [&](const auto& entry) { return entry.first.model == model; });
+  std::erase_if(this->versions, [&](const auto& entry) { return entry.first.model == model; });
 }
 
 void EvidenceTable::Reset(const ModelVersion& version) {
--- a/src/routing/service_rollout.cc
+++ b/src/routing/service_rollout.cc
@@ -10,8 +10,7 @@
   return static_cast<double>(elapsed) / static_cast<double>(duration);
 }
 
-double TargetShare(const config::ServiceRollout& rollout, const RolloutPlan& plan,
-                   WallTimeMs now) {
+double TargetShare(const config::ServiceRollout& rollout, const RolloutPlan& plan, WallTimeMs now) {
   switch (rollout.state) {
     case config::ServiceRolloutState::kCompleted:
       return 1;
