Pass over an upstream whose address another one has taken over

Ruled out: a full service (nothing waited), the health check (a refusal is no failure).

Change: after a 421 the upstream is passed over for 5 s or until the list shows a new address or start, and the attempt does not count.

--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -39,6 +39,9 @@
   Duration report_lifetime = milliseconds(500);
   /// How long another host's work is believed: a few of its notices.
   Duration others_lifetime = milliseconds(800);
+  /// How long an upstream is passed over whose address another one has taken over, while the list
+  /// goes on showing it: lists lag, and keep lost upstreams for some seconds.
+  Duration taken_address_lifetime = seconds(5);
   /// What a running stream slows an upstream down by, as work.
   double running_work = 60;
 };
@@ -119,6 +122,9 @@
 
   void OnLoad(const UpstreamId& upstream, const LoadReport& report, TimePoint now);
   void OnCold(const UpstreamId& upstream, milliseconds cold_left, TimePoint now);
+  /// Another upstream answers at the address. It is chosen only if nothing else is left, until the
+  /// list shows a new address or a new start.
+  void OnAddressTaken(const UpstreamId& upstream, TimePoint now);
   /// Bytes came from the upstream.
   void OnHeard(const UpstreamId& upstream, TimePoint now);
   /// How long nothing has come from the upstream on any connection, while requests were in flight.
@@ -145,6 +151,8 @@
     double cold_tokens = 0;
     TimePoint cold_filled_at;
     TimePoint heard_at;
+    /// Until then another upstream is taken to answer at the address.
+    TimePoint taken_until;
   };
 
   void OnRestart(Member& member, TimePoint now);
@@ -155,6 +163,7 @@
   bool TakeColdToken(Member& member, TimePoint now, bool take);
   std::vector<Member*> FilterByVersion(std::vector<Member*> members,
                                        const UpstreamQuestion& question, WallTimeMs wall_now);
+  static std::vector<Member*> ReachableOrAll(const std::vector<Member*>& members, TimePoint now);
   std::vector<Member*> HealthyOrAll(const std::vector<Member*>& members, TimePoint now) const;
 
   PoolSettings settings;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -332,7 +332,8 @@
                     this->caller.Socket(), this->MakeTimes(this->attempts + 1));
   this->last_end = ToString(end);
   this->tried.insert(pick->upstream.id);
-  this->attempts += attempt.HandedOver() ? 1 : 0;
+  // What another upstream turned away at a listed address reached no upstream of the service.
+  this->attempts += attempt.HandedOver() && !attempt.Facts().other_upstream ? 1 : 0;
   return this->OnEnd(attempt, end);
 }
 
@@ -350,6 +351,9 @@
                    "No upstream of the service can be reached.", this->parts.settings.retry_after);
       return Next::kStop;
     case AttemptEnd::kNotRun:
+      if (attempt.Facts().other_upstream) {
+        this->parts.pool.OnAddressTaken(attempt.Upstream().id, this->clock.Now());
+      }
       return this->RetryOr(attempt, end, RefusalKind::kOverloaded);
     case AttemptEnd::kCallerLeft:
       this->Note("cancelled", 0, "caller_left");
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -49,6 +49,7 @@
     }
     if (added || member.listed.address != listed.address) {
       member.heard_at = now;
+      member.taken_until = TimePoint();
     }
     if (listed.cold_left.count() > 0) {
       member.cold_until = std::max(member.cold_until, now + Duration(listed.cold_left));
@@ -70,6 +71,7 @@
   const milliseconds cold = service == nullptr ? milliseconds(0) : service->cold_start.duration;
   member.cold_until = std::max(member.cold_until, now + Duration(cold));
   member.health.OnRestart(now);
+  member.taken_until = TimePoint();
 }
 
 void UpstreamPool::SetRules(PoolRules next) {
@@ -189,6 +191,15 @@
   return kept.empty() && !is_settled ? found : kept;
 }
 
+/// Leaves out upstreams at whose addresses others answer, unless there are only such.
+std::vector<UpstreamPool::Member*> UpstreamPool::ReachableOrAll(const std::vector<Member*>& found,
+                                                                TimePoint now) {
+  std::vector<Member*> reachable;
+  std::copy_if(found.begin(), found.end(), std::back_inserter(reachable),
+               [&](const Member* member) { return now >= member->taken_until; });
+  return reachable.empty() ? found : reachable;
+}
+
 std::vector<UpstreamPool::Member*> UpstreamPool::HealthyOrAll(const std::vector<Member*>& found,
                                                               TimePoint now) const {
   std::vector<Member*> healthy;
@@ -220,7 +231,7 @@
   if (found.empty()) {
     return {PickStatus::kAllTried, {}, ChoiceReason::kNone, 0, 0, Duration::zero()};
   }
-  found = this->HealthyOrAll(found, now);
+  found = this->HealthyOrAll(ReachableOrAll(found, now), now);
   std::erase_if(found, [&](Member* member) { return !this->TakeColdToken(*member, now, false); });
   if (found.empty()) {
     constexpr Duration kColdRetry = milliseconds(50);
@@ -300,6 +311,20 @@
   }
 }
 
+void UpstreamPool::OnAddressTaken(const UpstreamId& upstream, TimePoint now) {
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->members.find(upstream);
+  if (found == this->members.end()) {
+    return;
+  }
+  Member& member = found->second;
+  if (now >= member.taken_until) {
+    kLog.Warning("Another upstream answers at a listed address; it is passed over.",
+                 {{"upstream", upstream}, {"address", member.listed.address}});
+  }
+  member.taken_until = now + this->settings.taken_address_lifetime;
+}
+
 void UpstreamPool::OnHeard(const UpstreamId& upstream, TimePoint now) {
   const std::scoped_lock lock(this->mutex);
   if (const auto found = this->members.find(upstream); found != this->members.end()) {
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -48,6 +48,7 @@
   edge.read_answer = [](const net::AnswerHead& head) {
     gateway::AnswerFacts facts;
     facts.not_run = head.Header("Not-Run").has_value();
+    facts.other_upstream = head.Header("Other-Upstream").has_value();
     facts.request = RequestId(std::string(head.Header("Id").value_or("")));
     facts.is_signed = head.Header("Signed").has_value();
     if (const auto sure = head.Header("Sure")) {
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -166,6 +166,26 @@
   CHECK(path.Send(Post()).Status() == 200);
 }
 
+TEST_CASE("an upstream whose address another one has taken over costs no attempt") {
+  // Pattern: an upstream is lost, its address is given to one of another service, and the list
+  // still shows it.
+  RawUpstream other([](const RawCall& call) {
+    call.Write("HTTP/1.1 421 Misdirected\r\nOther-Upstream: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 1));
+  path.SetUpstreams({other.Address(), upstream.Address()});
+  CHECK(path.Send(Post()).Status() == 200);
+  CHECK(path.Send(Post()).Status() == 200);
+  CHECK(other.Calls() == 1);
+
+  GatewayPath only(RouteOf(RouteKind::kAtMostOnce, 1));
+  only.SetUpstreams({other.Address()});
+  const CallerSaw refused = only.Send(Post());
+  CHECK(refused.Status() == 503);
+  CHECK(refused.Has("\"not_run\":\"true\""));
+}
+
 TEST_CASE("an answer until the close is whole when it ends in order, and not when it is reset") {
   const std::string head = "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n";
   RawUpstream in_order([&](const RawCall& call) { call.Write(head + "good"); });
--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -68,6 +68,33 @@
         PickStatus::kNoUpstream);
 }
 
+TEST_CASE("an upstream whose address another one has taken over is passed over for a while") {
+  const auto pool = MakePool();
+  const UpstreamList list = {Listed("lost", kNorth), Listed("here", kSouth)};
+  pool->SetList(list, At(0));
+  pool->OnAddressTaken(UpstreamId("lost"), At(1));
+  // The list lags and goes on showing it.
+  pool->SetList(list, At(1.5));
+  for (int request = 0; request < 20; ++request) {
+    CHECK(PickAt(*pool, 2).upstream.id == UpstreamId("here"));
+  }
+  // Nobody else is left: better tried than refused.
+  CHECK(pool->Pick({kService, {UpstreamId("here")}, "", {}, ""}, At(2), 0).upstream.id ==
+        UpstreamId("lost"));
+
+  SUBCASE("until the list shows it at another address") {
+    UpstreamList next = list;
+    next[0].address = "127.0.0.1:2";
+    pool->SetList(next, At(2.5));
+    CHECK(pool->Pick({kService, {}, "", {1, 1, 0}, ""}, At(2.5), 0).upstream.id ==
+          UpstreamId("lost"));
+  }
+  SUBCASE("or for the time that a list may lag") {
+    CHECK(pool->Pick({kService, {}, "", {1, 1, 0}, ""}, At(10), 0).upstream.id ==
+          UpstreamId("lost"));
+  }
+}
+
 TEST_CASE("cold return: all entries together send a cold upstream no more than it bears") {
   // Pattern: the upstreams of a domain come back together while every entry has requests waiting.
   constexpr int kEntries = 7;
