Let control hosts without a disk observe; two control hosts a failure domain

One control host a failure domain makes three: two lost disks are a lost majority. Ruled out: the consensus itself (one of three was left, and rightly refused).

Change: two control hosts a failure domain. Learners that are silent for a minute are removed.

--- a/include/masticrill/consensus/membership.h
+++ b/include/masticrill/consensus/membership.h
@@ -100,7 +100,7 @@
 };
 
 inline constexpr std::size_t kMaxVoters = 7;
-inline constexpr std::size_t kMaxMembers = 9;
+inline constexpr std::size_t kMaxMembers = 24;
 inline constexpr std::size_t kMaxRetired = 256;
 
 /// A new membership, or why the change is not allowed.
--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -46,6 +46,9 @@
   /// to take its place; and after the longer time also without one, if enough others are left.
   Duration replaceable_silence = seconds(3);
   Duration removable_silence = seconds(10);
+  /// A learner that was silent for this long is removed. It holds no vote, so there is no hurry,
+  /// and one that was only cut off need not start anew.
+  Duration learner_silence = seconds(60);
   /// How often the leader reads the shared list, and the others ask it for that.
   Duration list_interval = milliseconds(500);
   Duration list_ask_interval = milliseconds(200);
@@ -76,6 +79,9 @@
   /// While this replica is no member of a running group, ask the group to take it in; and as the
   /// leader, replace members that are gone by those that have come. Otherwise operators do both.
   bool join_by_itself = false;
+  /// False for an observer: it follows the log and answers like any replica, but never votes, since
+  /// its data folder does not outlive its process. It joins by itself and forms no group.
+  bool may_vote = true;
   /// Called by the leader alone, for all nodes; empty where no list is shared.
   SharedListReader read_list = {};
   /// Answers operators in place of the own interface; empty for the own one.
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -179,10 +179,13 @@
   std::string membership;
   /// Every member has accepted that membership.
   bool formed = false;
+  /// False for an observer, whose data folder does not outlive its process.
+  bool may_vote = true;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->node, this->identity, this->is_empty, this->membership, this->formed);
+    archive(this->node, this->identity, this->is_empty, this->membership, this->formed,
+            this->may_vote);
   }
 };
 
--- a/src/control/formation.cc
+++ b/src/control/formation.cc
@@ -78,7 +78,7 @@
   BOOST_LEAF_CHECK(this->LoadAccepted());
   const std::vector<NodeId> members = this->InitialMembers();
   const bool listed = std::find(members.begin(), members.end(), own.node) != members.end();
-  if (!this->replica.IsEmpty() || this->options.join || !listed) {
+  if (!this->replica.IsEmpty() || this->options.join || !listed || !this->options.may_vote) {
     this->done = true;
     this->replica.Run();
     return {};
@@ -135,7 +135,8 @@
           .identity = this->self.identity.Value(),
           .is_empty = this->replica.IsEmpty(),
           .membership = this->accepted ? this->accepted->membership : "",
-          .formed = this->accepted && this->accepted->formed};
+          .formed = this->accepted && this->accepted->formed,
+          .may_vote = this->options.may_vote};
 }
 
 Duration Formation::TryToForm() {
@@ -194,18 +195,24 @@
   return false;
 }
 
-/// The first voter by name forms the group once every other one accepted the membership.
+/// The first voter by name forms the group once every other one accepted the membership. Observers
+/// among the listed members only have to answer.
 bool Formation::FormAsFirst(const std::vector<net::FormReply>& replies) {
   const std::vector<NodeId> members = this->InitialMembers();
-  if (members.front() != this->self.node || replies.size() + 1 != members.size()) {
+  if (replies.size() + 1 != members.size()) {
     return false;
   }
   consensus::Membership membership;
   membership.voters = {this->self};
   for (const net::FormReply& reply : replies) {
-    membership.voters.push_back({reply.node, storage::ReplicaIdentity(reply.identity)});
+    if (reply.may_vote) {
+      membership.voters.push_back({reply.node, storage::ReplicaIdentity(reply.identity)});
+    }
   }
   std::sort(membership.voters.begin(), membership.voters.end());
+  if (membership.voters.front() != this->self) {
+    return false;
+  }
   std::string proposed = consensus::EncodeMembership(membership);
   {
     const std::scoped_lock lock(this->mutex);
@@ -219,7 +226,7 @@
   const std::vector<net::FormReply> answers = this->AskOthers(proposed);
   const bool all = answers.size() + 1 == members.size() &&
                    std::all_of(answers.begin(), answers.end(), [&](const net::FormReply& answer) {
-                     return answer.membership == proposed;
+                     return !answer.may_vote || answer.membership == proposed;
                    });
   if (!all) {
     kLog.Warning("Not every replica accepted the group. Empty the data folders to start again.");
--- a/src/control/member_service.cc
+++ b/src/control/member_service.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Logger kLog(LogPart::kControl);
+/// A learner that has caught up answers at once.
+constexpr Duration kAskTimeout = milliseconds(300);
 
 Error ToError(consensus::RejectReason reason) {
   const std::string name(consensus::ToString(reason));
@@ -129,13 +131,46 @@
   return {};
 }
 
-/// The voter that has been silent for longest, if for at least `silence`.
-std::optional<consensus::ReplicaId> FindSilentVoter(const consensus::ReplicaStatus& status,
-                                                    Duration silence, TimePoint now) {
+bool MemberService::MayVote(const consensus::ReplicaId& learner) {
+  {
+    const std::scoped_lock lock(this->mutex);
+    if (const auto known = this->known_to_vote.find(learner); known != this->known_to_vote.end()) {
+      return known->second;
+    }
+  }
+  const std::shared_ptr<net::RpcClient> client = this->addresses.Client(learner.node);
+  if (client == nullptr) {
+    return false;
+  }
+  return HandleErrors(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(reply, client->Call<net::FormReply>(net::FormRequest{}, kAskTimeout));
+        if (reply.identity != learner.identity.Value()) {
+          // Another process has taken its place, and joins under its own identity.
+          return false;
+        }
+        const std::scoped_lock lock(this->mutex);
+        this->known_to_vote.insert_or_assign(learner, reply.may_vote);
+        return reply.may_vote;
+      },
+      [&](const Error& error) {
+        kLog.Debug("A learner did not say whether it may vote; it is asked again.",
+                   {{"node", learner.node}, {"cause", error.message}});
+        return false;
+      });
+}
+
+namespace {
+
+/// The member among the peers that has been silent for longest, if for at least `silence`.
+template <typename Predicate>
+std::optional<consensus::ReplicaId> FindSilent(const consensus::ReplicaStatus& status,
+                                               Duration silence, TimePoint now,
+                                               const Predicate& is_meant) {
   std::optional<consensus::ReplicaId> found;
   TimePoint oldest = now - silence;
   for (const consensus::PeerStatus& peer : status.peers) {
-    if (status.membership.IsVoter(peer.replica) && peer.heard_at < oldest) {
+    if (is_meant(peer.replica) && peer.heard_at < oldest) {
       found = peer.replica;
       oldest = peer.heard_at;
     }
@@ -143,26 +178,39 @@
   return found;
 }
 
-bool MemberService::ReplaceSilentVoter() {
+}  // namespace
+
+bool MemberService::RemoveSilentMember() {
   const consensus::ReplicaStatus status = this->replica.Status().replica;
+  const TimePoint now = SystemClock().Now();
   const bool has_successor =
       std::any_of(status.peers.begin(), status.peers.end(), [&](const auto& peer) {
-        return peer.caught_up && status.membership.IsLearner(peer.replica);
+        return peer.caught_up && status.membership.IsLearner(peer.replica) &&
+               this->MayVote(peer.replica);
       });
   // Without a successor the group shrinks, and must still bear the loss of another replica.
   constexpr std::size_t kLeastVotersLeft = 3;
   const bool may_shrink = status.membership.voters.size() > kLeastVotersLeft;
-  if (!has_successor && !may_shrink) {
-    return false;
+  std::optional<consensus::ReplicaId> silent;
+  if (has_successor || may_shrink) {
+    const Duration silence =
+        has_successor ? this->timings.replaceable_silence : this->timings.removable_silence;
+    silent = FindSilent(status, silence, now, [&](const consensus::ReplicaId& replica) {
+      return status.membership.IsVoter(replica);
+    });
+  }
+  if (!silent) {
+    // Observers leave no trace but their place: they come back under new identities.
+    silent = FindSilent(
+        status, this->timings.learner_silence, now,
+        [&](const consensus::ReplicaId& replica) { return status.membership.IsLearner(replica); });
   }
-  const Duration silence =
-      has_successor ? this->timings.replaceable_silence : this->timings.removable_silence;
-  const auto silent = FindSilentVoter(status, silence, SystemClock().Now());
   if (!silent) {
     return false;
   }
-  kLog.Info("A silent voter is removed.",
-            {{"node", silent->node}, {"has_successor", has_successor}});
+  kLog.Info("A silent member is removed.", {{"node", silent->node},
+                                            {"voter", status.membership.IsVoter(*silent)},
+                                            {"has_successor", has_successor}});
   this->replica.ProposeMembership({consensus::MembershipChangeKind::kRemove, *silent},
                                   [](const consensus::ProposalResult&) {});
   return true;
@@ -171,7 +219,8 @@
 void MemberService::PromoteLearners() {
   const consensus::ReplicaStatus status = this->replica.Status().replica;
   for (const consensus::PeerStatus& peer : status.peers) {
-    if (!peer.caught_up || !status.membership.IsLearner(peer.replica)) {
+    if (!peer.caught_up || !status.membership.IsLearner(peer.replica) ||
+        !this->MayVote(peer.replica)) {
       continue;
     }
     kLog.Info("A learner has caught up and becomes a voter.", {{"node", peer.replica.node}});
--- a/src/control/member_service.h
+++ b/src/control/member_service.h
@@ -1,6 +1,8 @@
 #ifndef MASTICRILL_CONTROL_MEMBER_SERVICE_H_
 #define MASTICRILL_CONTROL_MEMBER_SERVICE_H_
 
+#include <map>
+#include <mutex>
 #include <string>
 
 #include "control/address_book.h"
@@ -20,19 +22,25 @@
   Result<std::string> Change(const net::MemberRequest& request);
   /// Carries the change out; fails with kNotLeader when another replica leads.
   Result<std::string> ChangeAsLeader(const net::MemberRequest& request);
-  /// Proposes to promote the learners that have caught up, when this replica leads.
+  /// Proposes to promote the learners that have caught up and may vote, when this replica leads.
   void PromoteLearners();
-  /// Proposes to remove a voter that is gone, when this replica leads. Returns whether it did.
-  bool ReplaceSilentVoter();
+  /// Proposes to remove a voter that is gone, or an observer that was gone for long, when this
+  /// replica leads. Returns whether it did.
+  bool RemoveSilentMember();
 
  private:
   Result<std::string> Add(const net::MemberRequest& request);
   Result<std::string> Remove(const net::MemberRequest& request);
   Result<void> Propose(const consensus::MembershipChange& change);
+  /// Whether a learner is a future voter and no observer; no while it cannot be asked.
+  bool MayVote(const consensus::ReplicaId& learner);
 
   ReplicaRunner& replica;
   AddressBook& addresses;
   ControlTimings timings;
+  std::mutex mutex;
+  /// What learners answered to MayVote. It never changes for one identity.
+  std::map<consensus::ReplicaId, bool> known_to_vote;
 };
 
 }  // namespace masticrill::control
--- a/test/control/joining_test.cc
+++ b/test/control/joining_test.cc
@@ -106,5 +106,70 @@
   CHECK(cluster.Call(added, PatchCall(1, "p-1", TeamPatch("after"))).status == 200);
 }
 
+TEST_CASE("an observer follows the group and answers, but never votes nor replaces a voter") {
+  ControlCluster cluster(3, QuickTimings());
+  LetJoinByThemselves(cluster);
+  cluster.StartAll();
+  const std::size_t observer = cluster.AddJoining("c-observer");
+  cluster.Options(observer).join_by_itself = true;
+  cluster.Options(observer).may_vote = false;
+  cluster.Start(observer);
+  REQUIRE(WaitUntil([&] { return VotersAt(cluster, observer).size() == 3; }));
+  REQUIRE(WaitUntil([&] { return cluster.At(observer).IsReady(); }));
+  CHECK(cluster.Call(observer, PatchCall(1, "p-1", TeamPatch("through-it"))).status == 200);
+  CHECK(HasTeam(cluster.Call(observer, GetCall("/v1/config")).body, "through-it"));
+
+  // A voter is lost for longer than a successor would wait; a voter that comes does replace it.
+  const std::size_t gone = cluster.Follower();
+  const std::string gone_name = cluster.Options(gone).node.Value();
+  cluster.Crash(gone);
+  const std::size_t added = cluster.AddJoining("c-voter");
+  cluster.Options(added).join_by_itself = true;
+  cluster.Start(added);
+  REQUIRE(WaitUntil([&] {
+    const std::set<std::string> voters = VotersAt(cluster, cluster.WaitForLeader());
+    return voters.size() == 3 && voters.contains("c-voter");
+  }));
+  const std::set<std::string> voters = VotersAt(cluster, cluster.WaitForLeader());
+  CHECK_FALSE(voters.contains("c-observer"));
+  CHECK_FALSE(voters.contains(gone_name));
+}
+
+TEST_CASE("a group is formed by those of its first members that may vote") {
+  ControlCluster cluster(3, QuickTimings());
+  LetJoinByThemselves(cluster);
+  cluster.Options(0).may_vote = false;
+  cluster.StartAll();
+  CHECK(VotersAt(cluster, 1) == std::set<std::string>{"c1", "c2"});
+  CHECK(WaitUntil([&] { return VotersAt(cluster, 0).size() == 2; }));
+}
+
+TEST_CASE("six voters bear the loss of two data folders while the others stop") {
+  // Pattern: all lose power right after an acknowledgement, and two lose their folders.
+  ControlCluster cluster(3, QuickTimings());
+  LetJoinByThemselves(cluster);
+  cluster.StartAll();
+  for (int added = 0; added < 3; ++added) {
+    const std::size_t place = cluster.AddJoining("c-more-" + std::to_string(added));
+    cluster.Options(place).join_by_itself = true;
+    cluster.Start(place);
+  }
+  REQUIRE(WaitUntil([&] { return VotersAt(cluster, cluster.WaitForLeader()).size() == 6; }));
+  CHECK(cluster.Call(0, PatchCall(1, "p-1", TeamPatch("kept"))).status == 200);
+  for (std::size_t index = 0; index < cluster.Size(); ++index) {
+    cluster.Crash(index);
+  }
+  for (const std::size_t wiped : {std::size_t{1}, std::size_t{4}}) {
+    std::filesystem::remove_all(cluster.FolderOf(wiped));
+  }
+  for (std::size_t index = 0; index < cluster.Size(); ++index) {
+    cluster.Options(index).join = true;
+    cluster.Start(index);
+  }
+  REQUIRE(WaitUntil([&] { return VotersAt(cluster, cluster.WaitForLeader()).size() == 6; }));
+  REQUIRE(WaitUntil([&] { return cluster.AllReady(); }));
+  CHECK(HasTeam(cluster.Call(4, GetCall("/v1/config")).body, "kept"));
+}
+
 }  // namespace
 }  // namespace masticrill::control
