--- a/include/masticrill/storage/file_log_storage.h
+++ b/include/masticrill/storage/file_log_storage.h
@@ -22,6 +22,9 @@
   std::string folder;
   /// A segment that has grown beyond this is closed and the next one begun.
   std::size_t segment_bytes = std::size_t{16} << 20U;
+  /// No other process can reach the folder, so it is not locked; memory file systems of single
+  /// processes have no locks.
+  bool is_private = false;
 };
 
 /// LogStorage in the files of one folder:
--- a/src/storage/file_log_storage_inl.h
+++ b/src/storage/file_log_storage_inl.h
@@ -118,7 +118,8 @@
 Result<StoredState> FileLogStorage<F>::Load() {
   BOOST_LEAF_CHECK(this->CheckUsable());
   BOOST_LEAF_CHECK(this->Check(this->files.MakeFolder(this->options.folder), "Making the folder"));
-  const Errno lock_error = this->files.TryLock(this->Path(kLockName));
+  const Errno lock_error =
+      this->options.is_private ? 0 : this->files.TryLock(this->Path(kLockName));
   if (lock_error == EWOULDBLOCK) {
     this->failure = Error{ErrorKind::kConflict, this->options.folder +
                                                     ": another process uses the folder. Stop it, "
