--- a/src/storage/file_log_storage_inl.h
+++ b/src/storage/file_log_storage_inl.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <memory>
 #include <string>
 #include <utility>
@@ -159,7 +160,9 @@
 Result<void> FileLogStorage<F>::LoadIdentity(bool folder_was_empty, StoredState& state) {
   if (folder_was_empty) {
     state.is_new = true;
-    BOOST_LEAF_CHECK(this->Check(this->files.SyncFolder(this->Path("..")), "Syncing the folder"));
+    const std::string parent =
+        std::filesystem::absolute(this->options.folder).parent_path().string();
+    BOOST_LEAF_CHECK(this->Check(this->files.SyncFolder(parent), "Syncing the folder"));
     state.identity = ReplicaIdentity(SecureRandomHex(kIdentityBytes));
     return this->WriteBeside(kIdentityName, FrameFile(state.identity.Value()));
   }
