--- a/include/masticrill/storage/file_log_storage.h
+++ b/include/masticrill/storage/file_log_storage.h
@@ -22,8 +22,8 @@
   std::string folder;
   /// A segment that has grown beyond this is closed and the next one begun.
   std::size_t segment_bytes = std::size_t{16} << 20U;
-  /// No other process can reach the folder, so it is not locked; memory file systems of single
-  /// processes have no locks.
+  /// No other process can reach the folder and it ends with this one: it is not locked, and files
+  /// are written in place. Private file systems in memory can neither lock nor rename.
   bool is_private = false;
 };
 
--- a/src/storage/file_log_storage_inl.h
+++ b/src/storage/file_log_storage_inl.h
@@ -84,7 +84,8 @@
 template <FileOperations F>
 Result<void> FileLogStorage<F>::WriteBeside(std::string_view name, std::string_view content) {
   const std::string path = this->Path(name);
-  const std::string temporary = path + std::string(kTemporarySuffix);
+  const std::string temporary =
+      this->options.is_private ? path : path + std::string(kTemporarySuffix);
   FileHandle handle = 0;
   BOOST_LEAF_CHECK(this->Check(this->files.Create(temporary, handle), "Creating a file"));
   const Errno write_error = this->files.Write(handle, content);
@@ -92,6 +93,9 @@
   this->files.Close(handle);
   BOOST_LEAF_CHECK(this->Check(write_error, "Writing a file"));
   BOOST_LEAF_CHECK(this->Check(sync_error, "Syncing a file"));
+  if (this->options.is_private) {
+    return {};
+  }
   BOOST_LEAF_CHECK(this->Check(this->files.Rename(temporary, path), "Renaming a file"));
   return this->Check(this->files.SyncFolder(this->options.folder), "Syncing the folder");
 }
