Sum others' work as notices come, and shorten the notices

Cause: an entry of 27 hears 160 notices a second; each summed up the work of all hosts at all upstreams anew (about 700 look-ups), with the names of upstreams spelled out on the wire.

Change: a notice takes the place of the former one by difference; names are 32-bit keys and work is rounded.

--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "masticrill/common/clock.h"
@@ -78,13 +79,18 @@
   Duration retry_after{0};
 };
 
+/// A short stand-in for an upstream's name in notices that are sent often. Two upstreams with equal
+/// keys would only be taken to be as busy as each other.
+std::uint32_t ShortKey(const UpstreamId& upstream);
+
 /// The work of one host at one upstream.
 struct UpstreamWork {
-  UpstreamId upstream;
+  /// ShortKey of the upstream.
+  std::uint32_t upstream = 0;
   /// Work that has not begun to answer.
-  double waiting = 0;
+  std::uint32_t waiting = 0;
   /// Requests whose answers have begun.
-  std::uint32_t running = 0;
+  std::uint16_t running = 0;
 
   friend bool operator==(const UpstreamWork&, const UpstreamWork&) = default;
   template <typename Archive>
@@ -159,7 +165,11 @@
   bool MayTakeWork(const Member& member, const UpstreamQuestion& question) const;
   double EstimatedLoad(const Member& member, TimePoint now) const;
   double RunningWork(const ServiceId& service) const;
-  void SumOthersWork(TimePoint now);
+  /// Adds the work that a host told, or takes it away again with the sign -1.
+  void AddOthersWork(const std::vector<UpstreamWork>& work, double sign);
+  void ForgetSilentHosts(TimePoint now);
+  /// Sums up anew after upstreams or rules have changed.
+  void SumOthersWork();
   bool TakeColdToken(Member& member, TimePoint now, bool take);
   std::vector<Member*> FilterByVersion(std::vector<Member*> members,
                                        const UpstreamQuestion& question, WallTimeMs wall_now);
@@ -173,6 +183,8 @@
   std::uint32_t entry_count = 1;
   bool has_list = false;
   std::map<UpstreamId, Member> members;
+  /// The members by ShortKey.
+  std::unordered_map<std::uint32_t, Member*> members_by_key;
   struct OthersWork {
     std::vector<UpstreamWork> work;
     TimePoint told_at;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -1,6 +1,7 @@
 #include "masticrill/gateway/upstream_pool.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "masticrill/common/hash.h"
@@ -19,8 +20,20 @@
   return static_cast<double>(Hash64(key)) / kRange;
 }
 
+/// A number as the narrower type of a notice; the largest one where it does not fit.
+template <typename Narrow, typename Wide>
+Narrow Saturate(Wide value) {
+  constexpr auto kMost = static_cast<Wide>(std::numeric_limits<Narrow>::max());
+  return static_cast<Narrow>(std::min(value, kMost));
+}
+
 }  // namespace
 
+std::uint32_t ShortKey(const UpstreamId& upstream) {
+  constexpr unsigned kHalf = 32;
+  return static_cast<std::uint32_t>(Hash64(upstream.Value()) >> kHalf);
+}
+
 UpstreamPool::UpstreamPool(PoolSettings settings, Random random)
     : settings(std::move(settings)), random(std::move(random)) {}
 
@@ -60,6 +73,11 @@
   std::erase_if(this->members, [](const auto& entry) {
     return !entry.second.present && entry.second.in_flight == 0;
   });
+  this->members_by_key.clear();
+  for (auto& [id, member] : this->members) {
+    this->members_by_key.emplace(ShortKey(id), &member);
+  }
+  this->SumOthersWork();
   this->has_list = true;
 }
 
@@ -77,6 +95,7 @@
 void UpstreamPool::SetRules(PoolRules next) {
   const std::scoped_lock lock(this->mutex);
   this->rules = std::move(next);
+  this->SumOthersWork();
 }
 
 void UpstreamPool::SetEntryCount(std::uint32_t count) {
@@ -112,7 +131,8 @@
   std::vector<UpstreamWork> work;
   for (const auto& [id, member] : this->members) {
     if (member.in_flight > 0) {
-      work.push_back({id, member.waiting_work, member.running});
+      work.push_back({ShortKey(id), Saturate<std::uint32_t>(member.waiting_work),
+                      Saturate<std::uint16_t>(member.running)});
     }
   }
   return work;
@@ -121,26 +141,40 @@
 void UpstreamPool::SetOthersWork(const NodeId& host, std::vector<UpstreamWork> work,
                                  TimePoint now) {
   const std::scoped_lock lock(this->mutex);
-  this->others.insert_or_assign(host, OthersWork{std::move(work), now});
-  this->SumOthersWork(now);
+  OthersWork& told = this->others[host];
+  this->AddOthersWork(told.work, -1);
+  told = {std::move(work), now};
+  this->AddOthersWork(told.work, 1);
+}
+
+void UpstreamPool::AddOthersWork(const std::vector<UpstreamWork>& told, double sign) {
+  for (const UpstreamWork& work : told) {
+    if (const auto found = this->members_by_key.find(work.upstream);
+        found != this->members_by_key.end()) {
+      Member& member = *found->second;
+      const double running = work.running * this->RunningWork(member.listed.service);
+      member.others_work = std::max(member.others_work + sign * (work.waiting + running), 0.0);
+    }
+  }
 }
 
 /// Hosts that told nothing lately count as having no work.
-void UpstreamPool::SumOthersWork(TimePoint now) {
+void UpstreamPool::ForgetSilentHosts(TimePoint now) {
+  std::erase_if(this->others, [&](const auto& entry) {
+    const bool is_silent = now - entry.second.told_at > this->settings.others_lifetime;
+    if (is_silent) {
+      this->AddOthersWork(entry.second.work, -1);
+    }
+    return is_silent;
+  });
+}
+
+void UpstreamPool::SumOthersWork() {
   for (auto& [id, member] : this->members) {
     member.others_work = 0;
   }
-  std::erase_if(this->others, [&](const auto& entry) {
-    return now - entry.second.told_at > this->settings.others_lifetime;
-  });
   for (const auto& [host, told] : this->others) {
-    for (const UpstreamWork& work : told.work) {
-      if (const auto found = this->members.find(work.upstream); found != this->members.end()) {
-        Member& member = found->second;
-        member.others_work +=
-            work.waiting + work.running * this->RunningWork(member.listed.service);
-      }
-    }
+    this->AddOthersWork(told.work, 1);
   }
 }
 
@@ -216,6 +250,7 @@
 UpstreamPick UpstreamPool::Pick(const UpstreamQuestion& question, TimePoint now,
                                 WallTimeMs wall_now) {
   const std::scoped_lock lock(this->mutex);
+  this->ForgetSilentHosts(now);
   std::vector<Member*> found;
   for (auto& [id, member] : this->members) {
     if (this->MayTakeWork(member, question)) {
