Block signals before the log's thread starts

The writer of the queued log is started before the signals are blocked, and takes them with their default action while no thread waits for them, that is while the process stops. Ruled out: the deadline of the stop (1.1 s of 7 had passed) and an exit of its own (no last log line).

Change: block first, in all commands that run until told to stop. The new process test ended with 129 (killed by SIGHUP) before.

--- a/src/cli/dev_command.cc
+++ b/src/cli/dev_command.cc
@@ -155,8 +155,9 @@
 Result<int> RunDev(const Arguments& arguments) {
   LogOptions log_options;
   log_options.level = arguments.contains("verbose") ? LogLevel::kInfo : LogLevel::kError;
-  ConfigureLog(log_options);
+  // Before any thread starts, so that none takes a signal in place of WaitForTermination.
   BlockTerminationSignals();
+  ConfigureLog(log_options);
   Poco::TemporaryFile folder;
   folder.createDirectories();
   BOOST_LEAF_AUTO(fleet, StartFleet(folder.path(), arguments["listen"].as<std::string>()));
--- a/src/cli/role_process.h
+++ b/src/cli/role_process.h
@@ -37,8 +37,9 @@
   }
   BOOST_LEAF_AUTO(settings, Settings::Load(arguments["config"].as<std::string>(), declarations));
   BOOST_LEAF_AUTO(log_options, ReadLogOptions(settings));
-  ConfigureLog(log_options);
+  // Before any thread starts, so that none takes a signal in place of WaitForTermination.
   BlockTerminationSignals();
+  ConfigureLog(log_options);
   BOOST_LEAF_AUTO(server, start(settings, arguments.contains("check")));
   if (server == nullptr) {
     std::cout << "The settings are valid.\n";
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -234,5 +234,23 @@
   CHECK(fleet.entries[1]->Wait() == 0);
 }
 
+TEST_CASE("further signals do not end an entry that is stopping") {
+  // Pattern: settings are read again everywhere while hosts are restarted in turn.
+  PlatformFleet fleet;
+  Await("the configuration", [&] {
+    return fleet.Operate({"PUT", "/v1/config", {}, fleet.Configuration(5, {"key-1"})}).status ==
+           200;
+  });
+  fleet.AwaitReady(2);
+  fleet.entries[1]->Signal(SIGTERM);
+  Await("unready", [&] {
+    return fleet.Call(fleet.At(2, fleet.ports.ready), {"GET", "/v1/ready"}).status != 200;
+  });
+  fleet.entries[1]->Signal(SIGHUP);
+  fleet.entries[1]->Signal(SIGTERM);
+  CHECK(fleet.Ask(2, "/once/1", "key-1").status == 200);
+  CHECK(fleet.entries[1]->Wait() == 0);
+}
+
 }  // namespace
 }  // namespace masticrill::process
--- a/test/process/whole_path_test.cc
+++ b/test/process/whole_path_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <set>
 #include <thread>
 
@@ -176,8 +177,17 @@
   fleet.engines[0].SetFault(fakes::EngineFault::kHold);
   fleet.engines[1].SetFault(fakes::EngineFault::kHold);
   net::HttpAnswer first;
-  std::thread caller([&] { first = fleet.Chat(0, "small", true); });
-  Await("a held call", [&] { return fleet.engines[0].Calls() + fleet.engines[1].Calls() == 1; });
+  std::atomic<bool> ended = false;
+  std::thread caller([&] {
+    first = fleet.Chat(0, "small", true);
+    ended = true;
+  });
+  Await("a held call",
+        [&] { return ended || fleet.engines[0].Calls() + fleet.engines[1].Calls() == 1; });
+  if (ended) {
+    caller.join();
+    FAIL("the call was not held but answered " << first.status << ": " << first.body);
+  }
   fleet.entries[0].process->Signal(SIGTERM);
   fleet.sidecars["engine-1"].process->Signal(SIGTERM);
   fleet.sidecars["engine-2"].process->Signal(SIGTERM);
