--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -43,11 +43,6 @@
   /// How long an upstream is passed over whose address another one has taken over, while the list
   /// goes on showing it: lists lag, and keep lost upstreams for some seconds.
   Duration taken_address_lifetime = seconds(5);
-  /// Other hosts that must have given an upstream up before this one avoids it too: a single one
-  /// may itself be cut off.
-  std::uint32_t silence_witnesses = 2;
-  /// An upstream that was heard here this lately is not avoided, whatever others tell.
-  Duration heard_lately = seconds(1);
   /// What a running stream slows an upstream down by, as work.
   double running_work = 60;
 };
@@ -96,13 +91,11 @@
   std::uint32_t waiting = 0;
   /// Requests whose answers have begun.
   std::uint16_t running = 0;
-  /// The host has given the upstream up, since it fell silent.
-  bool silent = false;
 
   friend bool operator==(const UpstreamWork&, const UpstreamWork&) = default;
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->upstream, this->waiting, this->running, this->silent);
+    archive(this->upstream, this->waiting, this->running);
   }
 };
 
@@ -116,12 +109,7 @@
 };
 
 /// How an attempt at an upstream ended, as far as its health is concerned.
-enum class AttemptVerdict {
-  kGood,
-  kBad,
-  kSilent,  // Nothing came from the upstream on any connection.
-  kNeutral,
-};
+enum class AttemptVerdict { kGood, kBad, kNeutral };
 
 /// The upstreams of all services: who is there, what each has in flight from this host, what it
 /// reports, how healthy it is, and which version of its service it runs. Thread-safe.
@@ -142,7 +130,7 @@
   void Release(const UpstreamId& upstream, double work, AttemptVerdict verdict, TimePoint now);
 
   /// This host's work at all upstreams where it has any.
-  std::vector<UpstreamWork> OwnWork(TimePoint now) const;
+  std::vector<UpstreamWork> OwnWork() const;
   /// Another host's work, which replaces what it told before.
   void SetOthersWork(const NodeId& host, std::vector<UpstreamWork> work, TimePoint now);
 
@@ -170,12 +158,6 @@
     double waiting_work = 0;
     /// The same of all other hosts together.
     double others_work = 0;
-    /// How many other hosts have given it up.
-    std::int32_t silence_witnesses = 0;
-    /// Given up here until then.
-    TimePoint silent_until;
-    /// When bytes last came from it.
-    TimePoint last_bytes_at;
     routing::UpstreamHealth health;
     LoadReport report;
     TimePoint reported_at;
@@ -192,7 +174,7 @@
   double EstimatedLoad(const Member& member, TimePoint now) const;
   double RunningWork(const ServiceId& service) const;
   /// Adds the work that a host told, or takes it away again with the sign -1.
-  void AddOthersWork(const std::vector<UpstreamWork>& work, int sign);
+  void AddOthersWork(const std::vector<UpstreamWork>& work, double sign);
   void ForgetSilentHosts(TimePoint now);
   /// Sums up anew after upstreams or rules have changed.
   void SumOthersWork();
@@ -201,7 +183,6 @@
   bool MayUseCold(const Member& member, TimePoint now, WallTimeMs wall_now) const;
   std::vector<Member*> FilterByVersion(std::vector<Member*> members,
                                        const UpstreamQuestion& question, WallTimeMs wall_now);
-  std::vector<Member*> HeardOrAll(const std::vector<Member*>& members, TimePoint now) const;
   static std::vector<Member*> ReachableOrAll(const std::vector<Member*>& members, TimePoint now);
   std::vector<Member*> HealthyOrAll(const std::vector<Member*>& members, TimePoint now) const;
 
--- a/include/masticrill/routing/health.h
+++ b/include/masticrill/routing/health.h
@@ -46,9 +46,6 @@
  public:
   void OnDispatch(const HealthSettings& settings, TimePoint now);
   void OnResult(const HealthSettings& settings, bool good, TimePoint now);
-  /// The upstream sent nothing on any connection for so long that it is taken as gone: it is
-  /// ejected at once, since whatever else is sent there is lost too.
-  void OnSilence(const HealthSettings& settings, TimePoint now);
   /// An attempt ended that says nothing about health.
   void OnNeutralResult();
   /// The upstream restarted: what was known of its errors no longer counts.
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -409,9 +409,7 @@
 
 /// Notes what an attempt says about its upstream and about its version.
 void CallRunner::Judge(UpstreamAttempt& attempt, AttemptEnd end, bool good) {
-  const AttemptVerdict failure =
-      end == AttemptEnd::kSilent ? AttemptVerdict::kSilent : AttemptVerdict::kBad;
-  attempt.SetVerdict(good ? AttemptVerdict::kGood : failure);
+  attempt.SetVerdict(good ? AttemptVerdict::kGood : AttemptVerdict::kBad);
   const ListedUpstream& upstream = attempt.Upstream();
   routing::AttemptResult result;
   result.outcome = good ? routing::AttemptOutcome::kAnswered : routing::AttemptOutcome::kFailed;
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -125,7 +125,7 @@
 
 /// Sends what this host has in progress; once more, empty, after the last of it has ended.
 void LoadExchange::State::Tell() {
-  LoadNotice notice{this->options.node, ++this->sequence, this->pool.OwnWork(this->clock.Now())};
+  LoadNotice notice{this->options.node, ++this->sequence, this->pool.OwnWork()};
   if (notice.work.empty() && !std::exchange(this->had_work, false)) {
     return;
   }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -128,14 +128,13 @@
   return pool != nullptr && pool->is_engine ? this->settings.running_work : 1;
 }
 
-std::vector<UpstreamWork> UpstreamPool::OwnWork(TimePoint now) const {
+std::vector<UpstreamWork> UpstreamPool::OwnWork() const {
   const std::scoped_lock lock(this->mutex);
   std::vector<UpstreamWork> work;
   for (const auto& [id, member] : this->members) {
-    const bool is_silent = now < member.silent_until;
-    if (member.in_flight > 0 || is_silent) {
+    if (member.in_flight > 0) {
       work.push_back({ShortKey(id), Saturate<std::uint32_t>(member.waiting_work),
-                      Saturate<std::uint16_t>(member.running), is_silent});
+                      Saturate<std::uint16_t>(member.running)});
     }
   }
   return work;
@@ -150,14 +149,13 @@
   this->AddOthersWork(told.work, 1);
 }
 
-void UpstreamPool::AddOthersWork(const std::vector<UpstreamWork>& told, int sign) {
+void UpstreamPool::AddOthersWork(const std::vector<UpstreamWork>& told, double sign) {
   for (const UpstreamWork& work : told) {
     if (const auto found = this->members_by_key.find(work.upstream);
         found != this->members_by_key.end()) {
       Member& member = *found->second;
       const double running = work.running * this->RunningWork(member.listed.service);
       member.others_work = std::max(member.others_work + sign * (work.waiting + running), 0.0);
-      member.silence_witnesses += work.silent ? sign : 0;
     }
   }
 }
@@ -176,7 +174,6 @@
 void UpstreamPool::SumOthersWork() {
   for (auto& [id, member] : this->members) {
     member.others_work = 0;
-    member.silence_witnesses = 0;
   }
   for (const auto& [host, told] : this->others) {
     this->AddOthersWork(told.work, 1);
@@ -234,19 +231,6 @@
   return kept.empty() && !is_settled ? found : kept;
 }
 
-/// Leaves out upstreams that several other hosts have given up and that were not heard here lately,
-/// unless there are only such.
-std::vector<UpstreamPool::Member*> UpstreamPool::HeardOrAll(const std::vector<Member*>& found,
-                                                            TimePoint now) const {
-  std::vector<Member*> heard;
-  std::copy_if(found.begin(), found.end(), std::back_inserter(heard), [&](const Member* member) {
-    return member->silence_witnesses <
-               static_cast<std::int32_t>(this->settings.silence_witnesses) ||
-           now - member->last_bytes_at <= this->settings.heard_lately;
-  });
-  return heard.empty() ? found : heard;
-}
-
 /// Leaves out upstreams at whose addresses others answer, unless there are only such.
 std::vector<UpstreamPool::Member*> UpstreamPool::ReachableOrAll(const std::vector<Member*>& found,
                                                                 TimePoint now) {
@@ -288,7 +272,7 @@
   if (found.empty()) {
     return {PickStatus::kAllTried, {}, ChoiceReason::kNone, 0, 0, Duration::zero()};
   }
-  found = this->HealthyOrAll(this->HeardOrAll(ReachableOrAll(found, now), now), now);
+  found = this->HealthyOrAll(ReachableOrAll(found, now), now);
   std::erase_if(found,
                 [&](const Member* member) { return !this->MayUseCold(*member, now, wall_now); });
   if (found.empty()) {
@@ -347,9 +331,6 @@
       member.health.Read(this->settings.health, now).state == routing::HealthState::kHealthy;
   if (verdict == AttemptVerdict::kNeutral) {
     member.health.OnNeutralResult();
-  } else if (verdict == AttemptVerdict::kSilent) {
-    member.health.OnSilence(this->settings.health, now);
-    member.silent_until = member.health.Read(this->settings.health, now).ejected_until;
   } else {
     member.health.OnResult(this->settings.health, verdict == AttemptVerdict::kGood, now);
   }
@@ -392,10 +373,7 @@
 void UpstreamPool::OnHeard(const UpstreamId& upstream, TimePoint now) {
   const std::scoped_lock lock(this->mutex);
   if (const auto found = this->members.find(upstream); found != this->members.end()) {
-    Member& member = found->second;
-    member.heard_at = now;
-    member.last_bytes_at = now;
-    member.silent_until = TimePoint();
+    found->second.heard_at = now;
   }
 }
 
--- a/src/routing/health.cc
+++ b/src/routing/health.cc
@@ -37,14 +37,6 @@
   }
 }
 
-void UpstreamHealth::OnSilence(const HealthSettings& settings, TimePoint now) {
-  this->OnNeutralResult();
-  ++this->failures_in_row;
-  if (this->StateAt(now) != HealthState::kEjected) {
-    this->Eject(settings, now);
-  }
-}
-
 void UpstreamHealth::OnProbeResult(const HealthSettings& settings, bool good, TimePoint now) {
   if (!good) {
     this->Eject(settings, now);
--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -230,9 +230,9 @@
     pool->Release(small.upstream.id, small.work, AttemptVerdict::kGood, At(0));
   }
   pool->OnStarted(first.upstream.id, first.work);
-  CHECK(pool->OwnWork(At(0)) == std::vector<UpstreamWork>{{ShortKey(first.upstream.id), 0, 1}});
+  CHECK(pool->OwnWork() == std::vector<UpstreamWork>{{ShortKey(first.upstream.id), 0, 1}});
   pool->Release(first.upstream.id, 0, AttemptVerdict::kGood, At(1));
-  CHECK(pool->OwnWork(At(1)).empty());
+  CHECK(pool->OwnWork().empty());
 }
 
 TEST_CASE("what other entries tell of their work counts, until they fall silent") {
@@ -249,91 +249,6 @@
   CHECK(PickAt(*pool, 3).upstream.id == UpstreamId("busy"));
 }
 
-/// Requests that are sent to upstreams which went dark at 0 s, by all entries in `length` seconds.
-int SentToDarkUpstreams(double length, bool tell) {
-  constexpr int kEntries = 20;
-  constexpr int kUpstreams = 30;
-  constexpr int kDark = 5;
-  constexpr double kStep = 0.05;
-  constexpr double kGivenUpAfter = 1.2;
-  struct Waiting {
-    int entry;
-    UpstreamPick pick;
-    double since;
-  };
-  UpstreamList list;
-  for (int number = 0; number < kUpstreams; ++number) {
-    list.push_back(Listed("u" + std::to_string(number), kNorth));
-  }
-  const auto is_dark = [&](const UpstreamId& upstream) {
-    return std::any_of(list.begin(), list.begin() + kDark,
-                       [&](const ListedUpstream& listed) { return listed.id == upstream; });
-  };
-  std::vector<std::unique_ptr<UpstreamPool>> entries;
-  for (int entry = 0; entry < kEntries; ++entry) {
-    entries.push_back(MakePool(static_cast<std::uint64_t>(entry)));
-    entries.back()->SetRules({TableWithColdStart(0), {}, {}});
-    entries.back()->SetList(list, At(-10));
-  }
-  std::vector<Waiting> waiting;
-  int sent = 0;
-  for (double now = 0; now < length; now += kStep) {
-    std::erase_if(waiting, [&](const Waiting& request) {
-      const bool given_up = now - request.since >= kGivenUpAfter;
-      if (given_up) {
-        entries[static_cast<std::size_t>(request.entry)]->Release(
-            request.pick.upstream.id, request.pick.work, AttemptVerdict::kSilent, At(now));
-      }
-      return given_up;
-    });
-    for (int entry = 0; entry < kEntries; ++entry) {
-      UpstreamPool& pool = *entries[static_cast<std::size_t>(entry)];
-      const UpstreamPick pick = pool.Pick({kService, {}, "", {0, 500, 0}, ""}, At(now), 0);
-      if (is_dark(pick.upstream.id)) {
-        ++sent;
-        waiting.push_back({entry, pick, now});
-      } else {
-        pool.OnHeard(pick.upstream.id, At(now));
-        pool.Release(pick.upstream.id, pick.work, AttemptVerdict::kGood, At(now));
-      }
-      for (int other = 0; tell && other < kEntries; ++other) {
-        if (other != entry) {
-          entries[static_cast<std::size_t>(other)]->SetOthersWork(
-              NodeId("entry-" + std::to_string(entry)), pool.OwnWork(At(now)), At(now));
-        }
-      }
-    }
-  }
-  return sent;
-}
-
-TEST_CASE("dark upstreams: entries that tell each other send them little after the first silence") {
-  // Pattern: a sixth of the engines falls silent at once, without a reset, in a fleet whose entries
-  // each send an engine a request now and then.
-  const int until_first_silence = SentToDarkUpstreams(1.2, true);
-  const int afterwards = SentToDarkUpstreams(4.5, true) - until_first_silence;
-  const int afterwards_alone = SentToDarkUpstreams(4.5, false) - SentToDarkUpstreams(1.2, false);
-  CHECK(afterwards * 4 < afterwards_alone);
-}
-
-TEST_CASE("one entry that is cut off does not keep the others from an upstream") {
-  const auto pool = MakePool();
-  pool->SetRules({TableWithColdStart(0), {}, {}});
-  pool->SetList({Listed("u", kNorth), Listed("far", kSouth)}, At(0));
-  const std::vector<UpstreamWork> given_up = {{ShortKey(UpstreamId("u")), 0, 0, true}};
-  const auto pick = [&](double now) {
-    return pool->Pick({kService, {}, "", {0, 100, 0}, ""}, At(now), 0).upstream.id;
-  };
-  pool->SetOthersWork(NodeId("cut-off"), given_up, At(2));
-  CHECK(pick(2) == UpstreamId("u"));
-  pool->Release(UpstreamId("u"), 100, AttemptVerdict::kNeutral, At(2));
-  pool->SetOthersWork(NodeId("another"), given_up, At(2));
-  CHECK(pick(2) == UpstreamId("far"));
-  // What was heard here counts more.
-  pool->OnHeard(UpstreamId("u"), At(2.1));
-  CHECK(pick(2.2) == UpstreamId("u"));
-}
-
 TEST_CASE("what others tell is summed the same whatever order lists, notices and silence come in") {
   // Pattern: many entries tell their work often while upstreams come and go.
   constexpr int kRounds = 300;
@@ -414,8 +329,7 @@
           if (other != entry) {
             entries[static_cast<std::size_t>(other)]->SetOthersWork(
                 NodeId("entry-" + std::to_string(entry)),
-                entries[static_cast<std::size_t>(entry)]->OwnWork(At(0.01 * round)),
-                At(0.01 * round));
+                entries[static_cast<std::size_t>(entry)]->OwnWork(), At(0.01 * round));
           }
         }
       }
