Improve fewer unsure answers the later answers begin

The strongest model takes ten times the work of the cheapest, and the share of answers dropped for it did not depend on load.

Change: the confidence below which an answer is dropped shrinks with the lateness of the last answers (as a share of their latency targets): whole up to 0.25, nothing from 0.7 on.

--- /dev/null
+++ b/src/gateway/answer_lateness.cc
@@ -0,0 +1,48 @@
+#include "masticrill/gateway/answer_lateness.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace masticrill::gateway {
+namespace {
+
+/// The weight of the newest answer: about ten count, half a second's at a few dozen a second.
+constexpr double kNewestWeight = 0.1;
+/// The time in which the mean fades to a third without new answers.
+constexpr std::chrono::duration<double> kFadeTime{1.0};
+/// Up to this lateness a stronger model's answer, which begins a few times later, is on time.
+constexpr double kCalmLateness = 0.25;
+/// From this lateness on the next answers miss their targets.
+constexpr double kOverloadLateness = 0.7;
+
+}  // namespace
+
+void AnswerLateness::Add(const ServiceId& service, Duration waited, milliseconds latency_target,
+                         TimePoint now) {
+  if (latency_target.count() <= 0) {
+    return;
+  }
+  const std::chrono::duration<double, std::milli> waited_ms = waited;
+  const double share = waited_ms.count() / static_cast<double>(latency_target.count());
+  const std::scoped_lock lock(this->mutex);
+  Mean& mean = this->means[service];
+  mean.share += kNewestWeight * (share - mean.share);
+  mean.at = now;
+}
+
+double AnswerLateness::Read(const ServiceId& service, TimePoint now) const {
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->means.find(service);
+  if (found == this->means.end()) {
+    return 0;
+  }
+  const std::chrono::duration<double> since = now - found->second.at;
+  return found->second.share * std::exp(-since / kFadeTime);
+}
+
+double ConfidenceTargetUnderLoad(double calm_target, double lateness) {
+  const double left = (kOverloadLateness - lateness) / (kOverloadLateness - kCalmLateness);
+  return calm_target * std::clamp(left, 0.0, 1.0);
+}
+
+}  // namespace masticrill::gateway
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -443,6 +443,10 @@
   if (this->caller.Begun() && !IsSuccess(status)) {
     return this->RetryOr(attempt, AttemptEnd::kBroken, RefusalKind::kAnswerInterrupted);
   }
+  if (IsSuccess(status)) {
+    this->parts.lateness.Add(this->service, attempt.AnswerLatency(), this->route->latency_target,
+                             this->clock.Now());
+  }
   if (IsSuccess(status) && !this->caller.Begun() && this->ShouldEscalate(attempt)) {
     attempt.SetVerdict(AttemptVerdict::kGood);
     ++this->parts.metrics.escalated;
@@ -458,7 +462,9 @@
 
 double CallRunner::ConfidenceTarget() const {
   const auto& targets = this->parts.settings.confidence_targets;
-  return targets.at(std::min<std::size_t>(this->route->rank, targets.size() - 1));
+  return ConfidenceTargetUnderLoad(
+      targets.at(std::min<std::size_t>(this->route->rank, targets.size() - 1)),
+      this->parts.lateness.Read(this->service, this->clock.Now()));
 }
 
 /// Whether the answer is dropped for that of a stronger model. The caller has none of it yet.
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -16,6 +16,7 @@
 #include "gateway/upstream_attempt.h"
 #include "masticrill/common/refusal.h"
 #include "masticrill/config/lease.h"
+#include "masticrill/gateway/answer_lateness.h"
 #include "masticrill/gateway/edge_protocol.h"
 #include "masticrill/gateway/event_splitter.h"
 #include "masticrill/gateway/gateway_settings.h"
@@ -48,6 +49,7 @@
   routing::EvidenceTable& evidence;
   GatewayMetrics& metrics;
   StreamPace& pace;
+  AnswerLateness& lateness;
   /// The lease at this moment.
   std::function<config::LeaseCheck()> check_lease;
   /// The configuration in force; null while there is none.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -86,6 +86,7 @@
               this->evidence,
               this->metrics,
               this->pace,
+              this->lateness,
               [this] { return this->leases->Check(this->clock.Now()); },
               [this] { return this->View(); },
               [this](TimePoint until) { this->AwaitLease(until); },
@@ -116,6 +117,7 @@
   routing::EvidenceTable evidence;
   GatewayMetrics metrics;
   StreamPace pace;
+  AnswerLateness lateness;
   CallParts parts;
   TimePoint started_at;
   mutable std::mutex view_mutex;
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -160,6 +160,7 @@
                              Random(1)};
   gateway::GatewayMetrics metrics;
   gateway::StreamPace pace;
+  gateway::AnswerLateness lateness;
 
  private:
   gateway::EdgeProtocol edge = TestEdge();
@@ -173,6 +174,7 @@
                            evidence,
                            metrics,
                            pace,
+                           lateness,
                            [this] {
                              config::LeaseCheck check;
                              check.valid = this->lease_valid;
