--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -92,6 +92,12 @@
     });
   }
 
+  void AwaitUnready(int host) const {
+    Await("unready", [&] {
+      return this->Call(this->At(host, this->ports.ready), {"GET", "/v1/ready"}).status != 200;
+    });
+  }
+
   std::string Configuration(int version, const Json& keys) const {
     return Json{{"Version", version},
                 {"Routes",
@@ -115,6 +121,14 @@
         .dump();
   }
 
+  /// Puts a configuration with the key "key-1" in force.
+  void Configure(int version) const {
+    Await("the configuration", [&] {
+      return this->Operate({"PUT", "/v1/config", {}, this->Configuration(version, {"key-1"})})
+                 .status == 200;
+    });
+  }
+
   std::string LastHead() {
     const std::lock_guard lock(this->mutex);
     return this->last_head;
@@ -170,10 +184,7 @@
   PlatformFleet fleet;
   // Before anything is configured nobody can tell whether a request is allowed.
   Await("an entry", [&] { return fleet.Ask(1, "/once/1", "key-1").status == 503; });
-  Await("the configuration", [&] {
-    return fleet.Operate({"PUT", "/v1/config", {}, fleet.Configuration(3, {"key-1"})}).status ==
-           200;
-  });
+  fleet.Configure(3);
   for (const int host : {1, 2}) {
     fleet.AwaitReady(host);
     const net::HttpAnswer once = fleet.Ask(host, "/once/1", "key-1");
@@ -204,10 +215,7 @@
 
 TEST_CASE("an acknowledged configuration survives a kill of all, and is served again") {
   PlatformFleet fleet;
-  Await("the configuration", [&] {
-    return fleet.Operate({"PUT", "/v1/config", {}, fleet.Configuration(5, {"key-1"})}).status ==
-           200;
-  });
+  fleet.Configure(5);
   fleet.control->Kill();
   for (const auto& entry : fleet.entries) {
     entry->Kill();
@@ -221,15 +229,10 @@
 
 TEST_CASE("a stopping entry is not ready at once, still serves, and ends by itself with 0") {
   PlatformFleet fleet;
-  Await("the configuration", [&] {
-    return fleet.Operate({"PUT", "/v1/config", {}, fleet.Configuration(5, {"key-1"})}).status ==
-           200;
-  });
+  fleet.Configure(5);
   fleet.AwaitReady(2);
   fleet.entries[1]->Signal(SIGTERM);
-  Await("unready", [&] {
-    return fleet.Call(fleet.At(2, fleet.ports.ready), {"GET", "/v1/ready"}).status != 200;
-  });
+  fleet.AwaitUnready(2);
   CHECK(fleet.Ask(2, "/once/1", "key-1").status == 200);
   CHECK(fleet.entries[1]->Wait() == 0);
 }
@@ -237,15 +240,10 @@
 TEST_CASE("further signals do not end an entry that is stopping") {
   // Pattern: settings are read again everywhere while hosts are restarted in turn.
   PlatformFleet fleet;
-  Await("the configuration", [&] {
-    return fleet.Operate({"PUT", "/v1/config", {}, fleet.Configuration(5, {"key-1"})}).status ==
-           200;
-  });
+  fleet.Configure(5);
   fleet.AwaitReady(2);
   fleet.entries[1]->Signal(SIGTERM);
-  Await("unready", [&] {
-    return fleet.Call(fleet.At(2, fleet.ports.ready), {"GET", "/v1/ready"}).status != 200;
-  });
+  fleet.AwaitUnready(2);
   fleet.entries[1]->Signal(SIGHUP);
   fleet.entries[1]->Signal(SIGTERM);
   CHECK(fleet.Ask(2, "/once/1", "key-1").status == 200);
