--- a/include/masticrill/gateway/answer_lateness.h
+++ b/include/masticrill/gateway/answer_lateness.h
@@ -1,10 +1,8 @@
 #ifndef MASTICRILL_GATEWAY_ANSWER_LATENESS_H_
 #define MASTICRILL_GATEWAY_ANSWER_LATENESS_H_
 
-#include <cstdint>
 #include <map>
 #include <mutex>
-#include <optional>
 
 #include "masticrill/common/clock.h"
 #include "masticrill/common/name.h"
@@ -21,15 +19,10 @@
   /// The mean share of the last answers; it fades while none come. 0 while nothing is known.
   double Read(const ServiceId& service, TimePoint now) const;
 
-  /// From when on an answer counts as slow beside the service's others: several times what they
-  /// take on average, in proportion to the latency target. Nothing while too few are known.
-  std::optional<Duration> SlowAfter(const ServiceId& service, milliseconds latency_target) const;
-
  private:
   struct Mean {
     double share = 0;
     TimePoint at;
-    std::uint64_t answers = 0;
   };
 
   mutable std::mutex mutex;
--- a/include/masticrill/routing/load.h
+++ b/include/masticrill/routing/load.h
@@ -79,8 +79,6 @@
   RequestClass request_class = RequestClass::kTag;
   AttemptOutcome outcome = AttemptOutcome::kAnswered;
   std::optional<Duration> first_token = {};
-  /// A first token that comes later than this is slow; absent for the general bound.
-  std::optional<Duration> slow_after = {};
   Duration total{0};
   std::uint32_t tokens = 0;
   /// With a refusal: when the sidecar expects to have room.
--- a/src/control/rollout_keeper.cc
+++ b/src/control/rollout_keeper.cc
@@ -14,9 +14,6 @@
 constexpr Duration kWatchInterval = milliseconds(250);
 /// Trials of a candidate that are needed before it may be completed.
 constexpr std::uint64_t kLeastTrials = 10;
-/// How much larger the share of slow answers of a candidate may be: its upstreams have no prompts
-/// in their caches at first.
-constexpr double kToleratedSlowShare = 0.05;
 /// Reports of entries that have been silent for longer say nothing about the present.
 constexpr std::int64_t kOldestReportMs = 10'000;
 constexpr const char* kAuthor = "rollout-keeper";
@@ -52,11 +49,8 @@
 RolloutJudgement JudgeServiceRollout(const config::ServiceRollout& rollout,
                                      const RolloutEvidence& evidence,
                                      const routing::RolloutPlan& plan, WallTimeMs now) {
-  routing::RolloutSettings settings;
-  settings.tolerated.at(static_cast<std::size_t>(routing::EvidenceKind::kSlowFirstToken)) =
-      kToleratedSlowShare;
   const routing::RolloutDecision decision =
-      routing::JudgeRollout(evidence.candidate, evidence.baseline, settings);
+      routing::JudgeRollout(evidence.candidate, evidence.baseline, {});
   if (decision.stop) {
     return {RolloutVerdict::kRollBack, Describe(decision)};
   }
--- a/src/gateway/answer_lateness.cc
+++ b/src/gateway/answer_lateness.cc
@@ -12,11 +12,6 @@
 constexpr std::chrono::duration<double> kFadeTime{1.0};
 /// Up to this lateness a stronger model's answer, which begins a few times later, is on time.
 constexpr double kCalmLateness = 0.25;
-/// Answers that begin this many times later than the mean are slow. Prompts differ in length, so a
-/// few in a hundred do so at any time.
-constexpr double kSlowFactor = 4;
-/// Answers that are needed for a mean that slowness can be measured by.
-constexpr std::uint64_t kEnoughAnswers = 30;
 /// From this lateness on the next answers miss their targets.
 constexpr double kOverloadLateness = 0.7;
 
@@ -33,7 +28,6 @@
   Mean& mean = this->means[service];
   mean.share += kNewestWeight * (share - mean.share);
   mean.at = now;
-  ++mean.answers;
 }
 
 double AnswerLateness::Read(const ServiceId& service, TimePoint now) const {
@@ -46,17 +40,6 @@
   return found->second.share * std::exp(-since / kFadeTime);
 }
 
-std::optional<Duration> AnswerLateness::SlowAfter(const ServiceId& service,
-                                                  milliseconds latency_target) const {
-  const std::scoped_lock lock(this->mutex);
-  const auto found = this->means.find(service);
-  if (found == this->means.end() || found->second.answers < kEnoughAnswers) {
-    return std::nullopt;
-  }
-  const std::chrono::duration<double, std::milli> target = latency_target;
-  return duration_cast<Duration>(target * (found->second.share * kSlowFactor));
-}
-
 double ConfidenceTargetUnderLoad(double calm_target, double lateness) {
   const double left = (kOverloadLateness - lateness) / (kOverloadLateness - kCalmLateness);
   return calm_target * std::clamp(left, 0.0, 1.0);
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -415,25 +415,11 @@
   result.outcome = good ? routing::AttemptOutcome::kAnswered : routing::AttemptOutcome::kFailed;
   if (end == AttemptEnd::kAnswered || end == AttemptEnd::kFinished) {
     result.first_token = attempt.AnswerLatency();
-    result.slow_after =
-        this->parts.lateness.SlowAfter(upstream.service, this->route->latency_target);
   }
   this->parts.evidence.Add({ModelId(upstream.service.Value()), upstream.version},
                            upstream.failure_domain, result);
 }
 
-/// Whether the upstream runs a version that is still being judged.
-bool CallRunner::IsCandidate(const ListedUpstream& upstream) const {
-  if (this->view->configuration == nullptr) {
-    return false;
-  }
-  const auto& rollouts = this->view->configuration->service_rollouts;
-  const auto rollout = rollouts.find(upstream.service);
-  return rollout != rollouts.end() &&
-         rollout->second.state == config::ServiceRolloutState::kRunning &&
-         rollout->second.target == upstream.version;
-}
-
 CallRunner::Next CallRunner::OnAnswer(UpstreamAttempt& attempt) {
   const int status = attempt.Head().status;
   this->may_have_run = true;
@@ -457,7 +443,7 @@
   if (this->caller.Begun() && !IsSuccess(status)) {
     return this->RetryOr(attempt, AttemptEnd::kBroken, RefusalKind::kAnswerInterrupted);
   }
-  if (IsSuccess(status) && !this->IsCandidate(attempt.Upstream())) {
+  if (IsSuccess(status)) {
     this->parts.lateness.Add(this->service, attempt.AnswerLatency(), this->route->latency_target,
                              this->clock.Now());
   }
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -97,7 +97,6 @@
   /// Tries elsewhere if that is allowed, or ends the request.
   Next RetryOr(const UpstreamAttempt& attempt, AttemptEnd end, RefusalKind kind);
   void Judge(UpstreamAttempt& attempt, AttemptEnd end, bool good);
-  bool IsCandidate(const ListedUpstream& upstream) const;
   void Refuse(RefusalKind kind, std::string message,
               std::optional<milliseconds> retry_after = std::nullopt);
   std::string LastModel() const;
--- a/src/routing/rollout_judge.cc
+++ b/src/routing/rollout_judge.cc
@@ -116,7 +116,7 @@
   }
   TrialCount& slow = counts.at(static_cast<std::size_t>(EvidenceKind::kSlowFirstToken));
   ++slow.trials;
-  slow.bad += *result.first_token > result.slow_after.value_or(settings.slow_first_token) ? 1 : 0;
+  slow.bad += *result.first_token > settings.slow_first_token ? 1 : 0;
 }
 
 void VersionEvidence::AddRating(const FailureDomainId& domain, double score,
--- a/test/gateway/answer_lateness_test.cc
+++ b/test/gateway/answer_lateness_test.cc
@@ -31,18 +31,6 @@
   CHECK(lateness.Read(kService, At(6)) < 0.1);
 }
 
-TEST_CASE("an answer is slow beside the others of its service, in proportion to its target") {
-  AnswerLateness lateness;
-  CHECK_FALSE(lateness.SlowAfter(kService, kTarget).has_value());
-  for (int answer = 0; answer < 60; ++answer) {
-    lateness.Add(kService, milliseconds(100), kTarget, At(0.02 * answer));
-  }
-  const Duration slow_after = lateness.SlowAfter(kService, kTarget).value();
-  CHECK(slow_after > milliseconds(300));
-  CHECK(slow_after < milliseconds(500));
-  CHECK(lateness.SlowAfter(kService, 2 * kTarget).value() == 2 * slow_after);
-}
-
 TEST_CASE("the target is whole on a calm day and falls to nothing under overload") {
   CHECK(ConfidenceTargetUnderLoad(0.6, 0) == 0.6);
   CHECK(ConfidenceTargetUnderLoad(0.6, 0.1) == 0.6);
--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -99,7 +99,7 @@
 /// What a cold upstream is sent by all entries, each of which always has a request for it and whose
 /// clocks differ by up to some milliseconds.
 std::vector<double> SendToColdUpstream(std::uint32_t count, double per_second) {
-  constexpr WallTimeMs kClockSpreadMs = 40;
+  constexpr std::int64_t kClockSpreadMs = 40;
   std::vector<std::unique_ptr<UpstreamPool>> entries;
   for (std::uint32_t entry = 0; entry < count; ++entry) {
     entries.push_back(MakePool(entry));
