--- a/test/control/rollout_keeper_test.cc
+++ b/test/control/rollout_keeper_test.cc
@@ -44,6 +44,30 @@
   CHECK(VerdictAt(reports, 12'000) == RolloutVerdict::kRollBack);
 }
 
+TEST_CASE("a candidate that answers half of its requests late is stopped in its trial") {
+  // Pattern: no answer fails or misses its deadline, and a trial share of some dozen requests must
+  // do, before all sessions move.
+  constexpr int kTrials = 24;
+  const auto evidence_of = [](int slow) {
+    routing::VersionEvidence evidence;
+    for (int trial = 0; trial < kTrials; ++trial) {
+      routing::AttemptResult result;
+      result.first_token = milliseconds(trial < slow ? 800 : 100);
+      evidence.Add(FailureDomainId("d"), result, {});
+    }
+    return evidence;
+  };
+  RolloutEvidence joined;
+  for (int part = 0; part < 10; ++part) {
+    joined.baseline.Merge(evidence_of(part % 2));
+  }
+  joined.candidate = evidence_of(kTrials / 2);
+  CHECK(JudgeServiceRollout(Running(), joined, {}, 12'000).verdict == RolloutVerdict::kRollBack);
+  // Upstreams without prompts in their caches are a little slower at first.
+  joined.candidate = evidence_of(2);
+  CHECK(JudgeServiceRollout(Running(), joined, {}, 12'000).verdict == RolloutVerdict::kGoOn);
+}
+
 TEST_CASE("a good candidate is completed when its time has come, and not untried") {
   const std::vector<net::NodeReport> tried = {Report("e1", 20, 0), Report("e2", 20, 0)};
   CHECK(VerdictAt(tried, 12'000) == RolloutVerdict::kGoOn);
--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -99,7 +99,7 @@
 /// What a cold upstream is sent by all entries, each of which always has a request for it and whose
 /// clocks differ by up to some milliseconds.
 std::vector<double> SendToColdUpstream(std::uint32_t count, double per_second) {
-  constexpr std::int64_t kClockSpreadMs = 40;
+  constexpr WallTimeMs kClockSpreadMs = 40;
   std::vector<std::unique_ptr<UpstreamPool>> entries;
   for (std::uint32_t entry = 0; entry < count; ++entry) {
     entries.push_back(MakePool(entry));
@@ -111,8 +111,8 @@
   std::vector<double> sent;
   for (double now = 1; now < 3.9; now += 0.005) {
     for (std::uint32_t entry = 0; entry < count; ++entry) {
-      const WallTimeMs wall =
-          1'700'000'000'000 + static_cast<WallTimeMs>(now * 1000) + (entry * 7) % kClockSpreadMs;
+      const WallTimeMs wall = 1'700'000'000'000 + static_cast<WallTimeMs>(now * 1000) +
+                              (static_cast<WallTimeMs>(entry) * 7) % kClockSpreadMs;
       if (PickAt(*entries[entry], now, "", wall).status == PickStatus::kFound) {
         sent.push_back(now);
       }
