Failing tests for a group that goes on without a vote it should have

- A host whose seeds are followers or observers never joins: only the leader accepts a request to join, nobody forwards it, and the refusal is not logged.
- A successor is promoted while the lost voter still counts: four voters, one gone.
- A voter that was removed while it was down finds itself in its own log and never asks to join.
Found by reading.

--- a/test/control/joining_test.cc
+++ b/test/control/joining_test.cc
@@ -73,6 +73,21 @@
   CHECK(WaitUntil([&] { return VotersAt(cluster, added).contains("c-new"); }));
 }
 
+// Failure: the hosts that a new host knows are followers or observers. None of them forwards the
+// request to join, so the group never gets the voter that replaces a lost one.
+TEST_CASE("a host that knows only a host that does not lead joins the group") {
+  ControlCluster cluster(3, QuickTimings());
+  EnableAutoJoin(cluster);
+  cluster.StartAll();
+  const std::size_t known = cluster.Follower();
+  const std::size_t added = cluster.AddJoining("c-new");
+  cluster.Options(added).auto_join = true;
+  cluster.Options(added).peers = {
+      {cluster.Options(known).node, cluster.Options(known).rpc_address}};
+  cluster.Start(added);
+  CHECK(WaitUntil([&] { return VotersAt(cluster, cluster.WaitForLeader()).contains("c-new"); }));
+}
+
 TEST_CASE("a host that lost its data folder rejoins, and no accepted change is lost") {
   ControlCluster cluster(3, QuickTimings());
   EnableAutoJoin(cluster);
@@ -107,6 +122,70 @@
   CHECK(cluster.Call(added, PatchCall(1, "p-1", TeamPatch("after"))).status == 200);
 }
 
+// Failure: the successor of a lost voter votes beside it, which makes four voters of which one is
+// gone. The loss of another data folder then leaves no majority.
+TEST_CASE("a group that replaced a lost voter survives the loss of another data folder") {
+  ControlTimings timings = QuickTimings();
+  timings.replace_voter_after = seconds(2);
+  timings.remove_voter_after = std::chrono::hours(1);
+  ControlCluster cluster(3, timings);
+  EnableAutoJoin(cluster);
+  cluster.StartAll();
+  const std::size_t lost = cluster.Follower();
+  const std::string lost_name = cluster.Options(lost).node.Value();
+  cluster.Crash(lost);
+  const std::size_t added = cluster.AddJoining("c-new");
+  cluster.Options(added).auto_join = true;
+  cluster.Start(added);
+  REQUIRE(WaitUntil([&] {
+    const std::set<std::string> voters = VotersAt(cluster, cluster.WaitForLeader());
+    return voters.size() == 3 && voters.contains("c-new") && !voters.contains(lost_name);
+  }));
+  const std::size_t wiped = cluster.WaitForLeader();
+  CHECK(cluster.Call(added, PatchCall(1, "p-1", TeamPatch("kept"))).status == 200);
+  for (std::size_t index = 0; index < cluster.Size(); ++index) {
+    cluster.Crash(index);
+  }
+  std::filesystem::remove_all(cluster.FolderOf(wiped));
+  for (std::size_t index = 0; index < cluster.Size(); ++index) {
+    if (index != lost) {
+      cluster.Options(index).join = true;
+      cluster.Start(index);
+    }
+  }
+  REQUIRE(WaitUntil([&] { return cluster.AllReady(); }));
+  CHECK(HasTeam(cluster.Call(added, GetCall("/v1/config")).body, "kept"));
+}
+
+// Failure: a voter that was replaced while it was down still finds itself in its own log. It waits
+// for a leader that no longer knows it, and the group stays without its vote.
+TEST_CASE("a voter that was replaced while it was down votes again after its return") {
+  ControlCluster cluster(3, QuickTimings());
+  EnableAutoJoin(cluster);
+  cluster.StartAll();
+  const std::size_t away = cluster.Follower();
+  const std::string away_name = cluster.Options(away).node.Value();
+  cluster.Crash(away);
+  const std::size_t added = cluster.AddJoining("c-new");
+  cluster.Options(added).auto_join = true;
+  cluster.Start(added);
+  REQUIRE(WaitUntil([&] {
+    const std::set<std::string> voters = VotersAt(cluster, cluster.WaitForLeader());
+    return voters.contains("c-new") && !voters.contains(away_name);
+  }));
+  cluster.Start(away);
+  CHECK(WaitUntil([&] {
+    if (cluster.At(away).IsRetired()) {
+      // The process ends, empties its folder and starts again.
+      cluster.Crash(away);
+      std::filesystem::remove_all(cluster.FolderOf(away));
+      cluster.Options(away).join = true;
+      cluster.Start(away);
+    }
+    return VotersAt(cluster, cluster.WaitForLeader()).contains(away_name);
+  }));
+}
+
 TEST_CASE("an observer follows the log and serves requests, but never votes nor replaces a voter") {
   ControlCluster cluster(3, QuickTimings());
   EnableAutoJoin(cluster);
