Demote a silent voter in time instead of counting it beside its successor

Cause: the leader promoted the successor of a lost voter as soon as it had caught up and removed the lost one only when a learner was waiting (3 s), or after 10 s in a group of more than three; a new leader counted from its election. So four voters, one of them gone, could stand for 10 s and longer. Four voters need three: the group tolerated no further loss. And a voter that was removed while it was away lost its identity for good and, since its own log still named it, never asked to join again.

Change: MembershipChangeKind::kDemote makes a voter a learner that keeps its identity. The leader promotes first, and demotes a silent voter after 3 s in a group of an even number, which tolerates no more losses than without that voter, and after 10 s in a group of an odd number above three. A demoted voter that returns catches up and is promoted again. Learners that stay silent for 60 s are removed as before.

--- a/include/masticrill/consensus/membership.h
+++ b/include/masticrill/consensus/membership.h
@@ -47,7 +47,13 @@
   }
 };
 
-enum class MembershipChangeKind { kAddLearner, kPromote, kRemove };
+enum class MembershipChangeKind {
+  kAddLearner,
+  kPromote,
+  /// Makes a voter a learner. It keeps its identity and may be promoted again.
+  kDemote,
+  kRemove,
+};
 
 /// A change by one replica. A node that lost its disk comes back by kRemove of the old replica,
 /// kAddLearner of the new one and, once it has caught up, kPromote.
--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -43,14 +43,15 @@
   /// An entry that has not requested a lease from any control host for this long is considered
   /// lost.
   Duration lost_entry_timeout = seconds(60);
-  /// A voter that the leader has not heard from is removed after the shorter time if a learner that
-  /// has caught up can replace it, and after the longer time also without a replacement, if at
-  /// least three voters are left.
-  Duration replace_voter_after = seconds(3);
-  Duration remove_voter_after = seconds(10);
-  /// A learner that the leader has not heard from for this long is removed. The limit is longer
-  /// than those of voters: a learner has no vote, so it can stay listed, and one that was only cut
-  /// off then need not join again.
+  /// A voter that the leader has not heard from becomes a learner if at least three voters are
+  /// left: after the shorter time in a group of an even number, which tolerates no more losses than
+  /// without that voter, and after the longer time in a group of an odd number. It is promoted
+  /// again when it has caught up.
+  Duration demote_surplus_voter_after = seconds(3);
+  Duration demote_voter_after = seconds(10);
+  /// A learner that the leader has not heard from for this long is removed for good. The limit is
+  /// longer than those of voters: a learner has no vote, so it can stay listed, and one that was
+  /// only cut off then need not join again.
   Duration remove_learner_after = seconds(60);
   /// How often the leader reads the shared list, and how often the other control hosts poll the
   /// leader for it.
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -35,11 +35,27 @@
   return {.membership = std::move(membership)};
 }
 
+bool IsLastVoter(const Membership& membership, const ReplicaId& replica) {
+  return membership.voters.size() == 1 && membership.IsVoter(replica);
+}
+
+MembershipDecision Demote(Membership membership, const ReplicaId& replica) {
+  if (!membership.IsVoter(replica)) {
+    return {.rejected = RejectReason::kNotMember};
+  }
+  if (IsLastVoter(membership, replica)) {
+    return {.rejected = RejectReason::kLastVoter};
+  }
+  std::erase(membership.voters, replica);
+  membership.learners.push_back(replica);
+  return {.membership = std::move(membership)};
+}
+
 MembershipDecision Remove(Membership membership, const ReplicaId& replica) {
   if (!membership.IsMember(replica)) {
     return {.rejected = RejectReason::kNotMember};
   }
-  if (membership.voters.size() == 1 && membership.IsVoter(replica)) {
+  if (IsLastVoter(membership, replica)) {
     return {.rejected = RejectReason::kLastVoter};
   }
   std::erase(membership.voters, replica);
@@ -84,6 +100,8 @@
       return AddLearner(membership, change.replica);
     case MembershipChangeKind::kPromote:
       return Promote(membership, change.replica);
+    case MembershipChangeKind::kDemote:
+      return Demote(membership, change.replica);
     case MembershipChangeKind::kRemove:
       return Remove(membership, change.replica);
   }
--- a/src/consensus/replica_membership.cc
+++ b/src/consensus/replica_membership.cc
@@ -34,7 +34,9 @@
   if (this->memberships.back().index > this->commit) {
     return RejectReason::kChangeInProgress;
   }
-  if (change.kind == MembershipChangeKind::kRemove && change.replica == this->id) {
+  const bool takes_vote =
+      change.kind == MembershipChangeKind::kDemote || change.kind == MembershipChangeKind::kRemove;
+  if (takes_vote && change.replica == this->id) {
     return RejectReason::kLeaderCannotLeave;
   }
   if (const auto rejected = ApplyChange(this->CurrentMembership(), change).rejected) {
--- a/src/control/member_service.cc
+++ b/src/control/member_service.cc
@@ -182,47 +182,52 @@
   return found;
 }
 
+/// The voter that the group is better off without; nullopt when there is none.
+std::optional<consensus::ReplicaId> FindVoterToDemote(const consensus::ReplicaStatus& status,
+                                                      const ControlTimings& timings,
+                                                      TimePoint now) {
+  // What is left must still tolerate the loss of another voter.
+  constexpr std::size_t kMinVotersLeft = 3;
+  const std::size_t count = status.membership.voters.size();
+  if (count <= kMinVotersLeft) {
+    return std::nullopt;
+  }
+  // An even group tolerates no more losses than the group without the unresponsive voter.
+  const bool is_even = count % 2 == 0;
+  return FindUnresponsive(
+      status, is_even ? timings.demote_surplus_voter_after : timings.demote_voter_after, now,
+      [&](const consensus::ReplicaId& replica) { return status.membership.IsVoter(replica); });
+}
+
 }  // namespace
 
-bool MemberService::RemoveUnresponsiveMember() {
+void MemberService::RetireUnresponsiveMember() {
   const consensus::ReplicaStatus status = this->replica.Status().replica;
   const TimePoint now = SystemClock().Now();
-  const bool has_successor =
-      std::any_of(status.peers.begin(), status.peers.end(), [&](const auto& peer) {
-        return peer.caught_up && status.membership.IsLearner(peer.replica) &&
-               this->MayVote(peer.replica);
-      });
-  // Without a successor the group shrinks, but must still tolerate the loss of another voter.
-  constexpr std::size_t kMinVotersLeft = 3;
-  const bool may_shrink = status.membership.voters.size() > kMinVotersLeft;
-  std::optional<consensus::ReplicaId> unresponsive;
-  if (has_successor || may_shrink) {
-    const Duration timeout =
-        has_successor ? this->timings.replace_voter_after : this->timings.remove_voter_after;
-    unresponsive = FindUnresponsive(status, timeout, now, [&](const consensus::ReplicaId& replica) {
-      return status.membership.IsVoter(replica);
-    });
-  }
-  if (!unresponsive) {
-    // An observer restarts under a new identity; its former identity is still listed as a learner.
-    unresponsive = FindUnresponsive(
-        status, this->timings.remove_learner_after, now,
-        [&](const consensus::ReplicaId& replica) { return status.membership.IsLearner(replica); });
-  }
-  if (!unresponsive) {
-    return false;
+  if (const auto voter = FindVoterToDemote(status, this->timings, now)) {
+    kLog.Info("Demoting a voter that the leader has not heard from within the limit.",
+              {{"node", voter->node}, {"voters", status.membership.voters.size()}});
+    this->replica.ProposeMembership({consensus::MembershipChangeKind::kDemote, *voter},
+                                    [](const consensus::ProposalResult&) {});
+    return;
+  }
+  // An observer restarts under a new identity; its former identity is still listed as a learner.
+  const auto learner = FindUnresponsive(
+      status, this->timings.remove_learner_after, now,
+      [&](const consensus::ReplicaId& replica) { return status.membership.IsLearner(replica); });
+  if (learner) {
+    kLog.Info("Removing a learner that the leader has not heard from within the limit.",
+              {{"node", learner->node}});
+    this->replica.ProposeMembership({consensus::MembershipChangeKind::kRemove, *learner},
+                                    [](const consensus::ProposalResult&) {});
   }
-  kLog.Info("Removing a member that the leader has not heard from within the limit.",
-            {{"node", unresponsive->node},
-             {"voter", status.membership.IsVoter(*unresponsive)},
-             {"has_successor", has_successor}});
-  this->replica.ProposeMembership({consensus::MembershipChangeKind::kRemove, *unresponsive},
-                                  [](const consensus::ProposalResult&) {});
-  return true;
 }
 
-void MemberService::PromoteLearners() {
+bool MemberService::PromoteLearner() {
   const consensus::ReplicaStatus status = this->replica.Status().replica;
+  if (status.membership.voters.size() >= consensus::kMaxVoters) {
+    return false;
+  }
   for (const consensus::PeerStatus& peer : status.peers) {
     if (!peer.caught_up || !status.membership.IsLearner(peer.replica) ||
         !this->MayVote(peer.replica)) {
@@ -231,8 +236,9 @@
     kLog.Info("Promoting a learner that has caught up to a voter.", {{"node", peer.replica.node}});
     this->replica.ProposeMembership({consensus::MembershipChangeKind::kPromote, peer.replica},
                                     [](const consensus::ProposalResult&) {});
-    return;
+    return true;
   }
+  return false;
 }
 
 }  // namespace masticrill::control
--- a/src/control/member_service.h
+++ b/src/control/member_service.h
@@ -22,11 +22,12 @@
   Result<std::string> Change(const net::MemberRequest& request);
   /// Makes the change; fails with kNotLeader when another replica leads.
   Result<std::string> ChangeAsLeader(const net::MemberRequest& request);
-  /// As the leader, proposes to promote one learner that has caught up and may vote.
-  void PromoteLearners();
-  /// As the leader, proposes to remove a voter or a learner that it has not heard from for longer
-  /// than the limit in ControlTimings. Returns whether it did.
-  bool RemoveUnresponsiveMember();
+  /// As the leader, proposes to promote one learner that has caught up and may vote. Returns
+  /// whether it did.
+  bool PromoteLearner();
+  /// As the leader, proposes to demote a voter or to remove a learner that it has not heard from
+  /// for longer than the limit in ControlTimings.
+  void RetireUnresponsiveMember();
 
  private:
   Result<std::string> Add(const net::MemberRequest& request);
--- a/src/control/upkeep.cc
+++ b/src/control/upkeep.cc
@@ -41,8 +41,8 @@
   if (this->BootstrapPending()) {
     this->ProposeBootstrapDocument();
   }
-  if (!this->options.auto_join || !this->members.RemoveUnresponsiveMember()) {
-    this->members.PromoteLearners();
+  if (!this->members.PromoteLearner() && this->options.auto_join) {
+    this->members.RetireUnresponsiveMember();
   }
   const std::vector<net::NodeReport> reports = this->fleet.CollectReports();
   this->PublishFleet(reports);
--- a/test/consensus/explorer_test.cc
+++ b/test/consensus/explorer_test.cc
@@ -203,8 +203,11 @@
     const ReplicaId* of_node = membership.FindNode(replica.node);
     if (of_node == nullptr) {
       this->group.Change(*leader, {MembershipChangeKind::kAddLearner, replica});
-    } else if (*of_node != replica || this->random.Below(3) == 0) {
-      const MembershipChange change{MembershipChangeKind::kRemove, *of_node};
+    } else if (*of_node != replica || membership.IsVoter(replica) || this->random.Below(3) == 0) {
+      const bool demotes =
+          *of_node == replica && membership.IsVoter(replica) && this->random.Below(3) != 0;
+      const MembershipChange change{
+          demotes ? MembershipChangeKind::kDemote : MembershipChangeKind::kRemove, *of_node};
       const MembershipDecision decision = ApplyChange(membership, change);
       if (!decision.rejected && this->QuorumWithout(decision.membership, ReplicaId())) {
         this->group.Change(*leader, change);
--- a/test/consensus/replica_test.cc
+++ b/test/consensus/replica_test.cc
@@ -233,6 +233,30 @@
   CHECK(elected.Commits());
 }
 
+// Failure: a voter that is away counts for the quorum of four, so that the loss of one more host
+// stops the group; removed instead, it could not return with its data folder.
+TEST_CASE("a demoted voter does not count for a quorum and is promoted again with its log") {
+  Elected elected(4);
+  Group::Host& away = elected.Follower(0);
+  const ReplicaId away_id = away.Id();
+  elected.CutOff(away.node);
+  CHECK_FALSE(elected.Change(MembershipChangeKind::kDemote, away_id));
+  elected.group.RunSoundly(milliseconds(100));
+  CHECK(elected.leader->replica->CurrentMembership().voters.size() == 3);
+  CHECK(elected.Change(MembershipChangeKind::kDemote, away_id) == RejectReason::kNotMember);
+  CHECK(elected.Change(MembershipChangeKind::kDemote, elected.leader->Id()) ==
+        RejectReason::kLeaderCannotLeave);
+  elected.group.Crash(elected.Follower(1));
+  CHECK(elected.Commits());
+  elected.group.blocked.clear();
+  elected.group.RunSoundly(seconds(1));
+  elected.leader = elected.group.Leader();
+  REQUIRE(elected.leader != nullptr);
+  CHECK_FALSE(elected.Change(MembershipChangeKind::kPromote, away_id));
+  elected.group.RunSoundly(milliseconds(200));
+  CHECK(elected.leader->replica->CurrentMembership().voters.size() == 4);
+}
+
 TEST_CASE("all replicas restart after hundreds of commands and a compaction") {
   Elected elected(3);
   elected.ProposeMany(300);
--- a/test/control/joining_test.cc
+++ b/test/control/joining_test.cc
@@ -28,7 +28,7 @@
 ControlTimings QuickTimings() {
   ControlTimings timings;
   timings.upkeep_interval = milliseconds(50);
-  timings.replace_voter_after = milliseconds(500);
+  timings.demote_surplus_voter_after = milliseconds(500);
   return timings;
 }
 
@@ -126,8 +126,8 @@
 // gone. The loss of another data folder then leaves no majority.
 TEST_CASE("a group that replaced a lost voter survives the loss of another data folder") {
   ControlTimings timings = QuickTimings();
-  timings.replace_voter_after = seconds(2);
-  timings.remove_voter_after = std::chrono::hours(1);
+  timings.demote_surplus_voter_after = seconds(2);
+  timings.demote_voter_after = std::chrono::hours(1);
   ControlCluster cluster(3, timings);
   EnableAutoJoin(cluster);
   cluster.StartAll();
