Let any control host forward the join request of a new host

Cause: a host that is not a member asks the control hosts that it knows, and only the leader accepted. A replaced machine knows only its seeds, three of the control hosts; where those are followers or observers it never joins, nothing is logged, and the group goes on with a voter that is gone. The users' pages promise only that the seeds serve control.

Change: a control host that gets the request from the joining host itself forwards it to the leader; a request that was forwarded already is not forwarded again.

Evidence: the test of joining_test.cc failed before (60 s of waiting, rc 1) and passes.

--- a/src/control/rpc_service.cc
+++ b/src/control/rpc_service.cc
@@ -85,7 +85,12 @@
     return {};
   }
   BOOST_LEAF_AUTO(request, net::DecodePayload<net::MemberRequest>(frame.payload));
-  BOOST_LEAF_AUTO(message, this->parts.members.ChangeAsLeader(request));
+  // A joining host may know none but followers and observers. What was forwarded once is not
+  // forwarded again, so that two hosts that each take the other for the leader end it.
+  const bool may_forward =
+      request.action == net::MemberAction::kJoin && channel->Peer().node == request.node;
+  BOOST_LEAF_AUTO(message, may_forward ? this->parts.members.Change(request)
+                                       : this->parts.members.ChangeAsLeader(request));
   channel->Send(frame.correlation, net::MemberReply{message});
   return {};
 }
