Let a control host without a leader ask whether it is still a member

Callers saw: nothing yet, found by reading; the group would stay without the vote of a host that runs.

Cause: a host that was removed while it was down finds itself in its own log, so it did not ask to join, and the group drops the messages of retired identities. It waited for ever, also after restarts.

Change: a member that has known no leader for 2 s asks like a host that is none. A leader that has retired its identity says so; the process then ends, empties its folder and starts anew, as it already did for a host that saw its own removal. For a host that is a member still, the answer changes nothing.

--- a/src/control/group_joiner.cc
+++ b/src/control/group_joiner.cc
@@ -9,6 +9,9 @@
 constexpr Logger kLog(LogPart::kControl);
 constexpr Duration kRetryInterval = milliseconds(300);
 constexpr Duration kMemberCheckInterval = seconds(1);
+/// A member without a leader for this long asks whether the group still knows it: the entry that
+/// removed it may never have reached its log.
+constexpr Duration kMaxLeaderless = seconds(2);
 constexpr Duration kCallTimeout = seconds(2);
 
 }  // namespace
@@ -26,7 +29,8 @@
   if (!this->options.auto_join || !this->formation.IsComplete()) {
     return kRetryInterval;
   }
-  if (status.membership.IsMember(status.id)) {
+  const bool is_member = status.membership.IsMember(status.id);
+  if (is_member && !this->IsLeaderless(status)) {
     return kMemberCheckInterval;
   }
   for (const PeerAddress& peer : this->addresses.All()) {
@@ -34,7 +38,16 @@
       return kMemberCheckInterval;
     }
   }
-  return kRetryInterval;
+  return is_member ? kMemberCheckInterval : kRetryInterval;
+}
+
+/// Whether no leader has been known for longer than the limit.
+bool GroupJoiner::IsLeaderless(const consensus::ReplicaStatus& status) {
+  const TimePoint now = this->clock.Now();
+  if (!status.leader.Empty()) {
+    this->led_at = now;
+  }
+  return now - this->led_at > kMaxLeaderless;
 }
 
 bool GroupJoiner::RequestJoin(const PeerAddress& peer) {
@@ -46,7 +59,7 @@
                                                       this->options.rpc_address},
                                    kCallTimeout));
         kLog.Info("The leader accepted the join request of this replica.",
-                  {{"leader", peer.node}, {"answer", reply.message}});
+                  {{"asked", peer.node}, {"answer", reply.message}});
         this->refusal_logged = false;
         return true;
       },
--- a/src/control/group_joiner.h
+++ b/src/control/group_joiner.h
@@ -12,7 +12,8 @@
 namespace masticrill::control {
 
 /// Requests membership in a running group as long as this replica is not a member, as after a start
-/// with an empty data folder. Owns a thread.
+/// with an empty data folder, or knows no leader, as when the group removed it meanwhile. Owns a
+/// thread.
 class GroupJoiner {
  public:
   /// The arguments must outlive the joiner.
@@ -25,6 +26,7 @@
 
  private:
   Duration RunOnce();
+  bool IsLeaderless(const consensus::ReplicaStatus& status);
   bool RequestJoin(const PeerAddress& peer);
 
   const ControlOptions& options;
@@ -33,6 +35,9 @@
   const GroupFormation& formation;
   std::atomic<bool> retired = false;
   bool refusal_logged = false;
+  SystemClock clock;
+  /// When a leader was last known; the start of the thread before that.
+  TimePoint led_at = this->clock.Now();
   PeriodicThread thread;
 };
 
--- a/test/control/joining_test.cc
+++ b/test/control/joining_test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "fakes/control_cluster.h"
 #include "fakes/control_operators.h"
@@ -12,17 +13,24 @@
 namespace masticrill::control {
 namespace {
 
-/// The voters that a host reports at /v1/status; empty while it reports none.
-std::set<std::string> VotersAt(ControlCluster& cluster, std::size_t index) {
+/// The members of the given kinds that a host reports at /v1/status; empty while it reports none.
+std::set<std::string> MembersAt(ControlCluster& cluster, std::size_t index,
+                                const std::vector<std::string>& kinds = {"voters", "learners"}) {
   const auto status =
       nlohmann::json::parse(cluster.Call(index, GetCall("/v1/status")).body, nullptr, false);
-  std::set<std::string> voters;
+  std::set<std::string> members;
   if (status.is_object() && status.contains("replica")) {
-    for (const auto& voter : status.at("replica").at("voters")) {
-      voters.insert(voter.at("node").get<std::string>());
+    for (const std::string& kind : kinds) {
+      for (const auto& member : status.at("replica").at(kind)) {
+        members.insert(member.at("node").get<std::string>());
+      }
     }
   }
-  return voters;
+  return members;
+}
+
+std::set<std::string> VotersAt(ControlCluster& cluster, std::size_t index) {
+  return MembersAt(cluster, index, {"voters"});
 }
 
 ControlTimings QuickTimings() {
@@ -186,6 +194,28 @@
   }));
 }
 
+// Failure: a host that was removed while it was down finds itself in its own log, waits for a
+// leader that does not know it, and never votes again.
+TEST_CASE("a host that was removed while it was down learns that its identity is retired") {
+  ControlTimings timings = QuickTimings();
+  timings.remove_learner_after = seconds(1);
+  ControlCluster cluster(3, timings);
+  EnableAutoJoin(cluster);
+  cluster.StartAll();
+  const std::size_t removed = cluster.Follower();
+  const std::string removed_name = cluster.Options(removed).node.Value();
+  cluster.Crash(removed);
+  const std::size_t added = cluster.AddJoining("c-new");
+  cluster.Options(added).auto_join = true;
+  cluster.Start(added);
+  REQUIRE(WaitUntil([&] {
+    const std::set<std::string> members = MembersAt(cluster, cluster.WaitForLeader());
+    return members.contains("c-new") && !members.contains(removed_name);
+  }));
+  cluster.Start(removed);
+  CHECK(WaitUntil([&] { return cluster.At(removed).IsRetired(); }));
+}
+
 TEST_CASE("an observer follows the log and serves requests, but never votes nor replaces a voter") {
   ControlCluster cluster(3, QuickTimings());
   EnableAutoJoin(cluster);
