Log and count what tells apart why a group has no leader

Each host now logs its data folder at the start, each membership that it knows, every 5 s without a leader which voters granted, refused or did not answer, and at the leader the voters that are silent. Refused join requests are logged by cause, not_leader too, and counted. /metrics tells the members, the voters heard and to spare, the own part and the time without a leader. The status of a replica tells votes, refusals and the membership's index; the protocol is unchanged.

--- a/include/masticrill/consensus/replica.h
+++ b/include/masticrill/consensus/replica.h
@@ -111,6 +111,7 @@
   void Handle(SnapshotTakenEvent& event);
 
   // Messages, after the term was compared.
+  void RecordRefusal(const Message& message);
   bool AdmitTerm(const Message& message);
   void AnswerStaleTerm(const Message& message);
   void Handle(const Message& message, const PreVoteRequest& request);
@@ -197,6 +198,8 @@
   TimePoint heard_leader_at;
   TimePoint election_deadline;
   std::set<ReplicaId> votes;
+  /// Who refused a vote in this replica's latest election. Only for the status.
+  std::set<ReplicaId> refusals;
   std::optional<IncomingSnapshot> incoming;
   std::vector<ForwardedRead> forwarded_reads;
   /// Added to read identifiers on the wire, so that an answer for an earlier start is not taken.
--- a/include/masticrill/consensus/replica_types.h
+++ b/include/masticrill/consensus/replica_types.h
@@ -178,6 +178,8 @@
   Index last_index = 0;
   Index snapshot_index = 0;
   Membership membership;
+  /// The log index of the membership; 0 when it comes from an empty log.
+  Index membership_index = 0;
   /// No membership change waits for a quorum.
   bool membership_committed = false;
   /// At a leader that has committed an entry of its term: when it sent the latest heartbeat round
@@ -185,6 +187,9 @@
   std::optional<TimePoint> quorum_confirmed_at;
   /// At a leader, the other members.
   std::vector<PeerStatus> peers;
+  /// In an election of this replica: who granted a vote, this replica included, and who refused it.
+  std::vector<ReplicaId> votes;
+  std::vector<ReplicaId> refusals;
 };
 
 }  // namespace masticrill::consensus
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -99,6 +99,7 @@
   if (!addressed || committed.IsRetired(message.from.identity)) {
     return;
   }
+  this->RecordRefusal(message);
   if (!this->AdmitTerm(message)) {
     return;
   }
@@ -144,6 +145,18 @@
 }
 
 /// Compares terms. Returns whether the message is to be handled.
+/// A refusal may carry a lower term, and is not handled then.
+void Replica::RecordRefusal(const Message& message) {
+  const auto* pre_vote = std::get_if<PreVoteResponse>(&message.body);
+  const auto* vote = std::get_if<VoteResponse>(&message.body);
+  const bool refused =
+      (pre_vote != nullptr && !pre_vote->granted) || (vote != nullptr && !vote->granted);
+  const bool elects = this->role == Role::kPreCandidate || this->role == Role::kCandidate;
+  if (refused && elects) {
+    this->refusals.insert(message.from);
+  }
+}
+
 bool Replica::AdmitTerm(const Message& message) {
   if (message.term < this->hard_state.term) {
     const bool from_late_reader = std::holds_alternative<ReadRequest>(message.body);
@@ -204,8 +217,11 @@
   status.last_index = this->log.LastIndex();
   status.snapshot_index = this->snapshot ? this->snapshot->index : 0;
   status.membership = this->CurrentMembership();
+  status.membership_index = this->memberships.back().index;
   status.membership_committed = this->memberships.back().index <= this->commit;
   if (this->role != Role::kLeader) {
+    status.votes.assign(this->votes.begin(), this->votes.end());
+    status.refusals.assign(this->refusals.begin(), this->refusals.end());
     return status;
   }
   if (this->TermEstablished()) {
--- a/src/consensus/replica_election.cc
+++ b/src/consensus/replica_election.cc
@@ -53,6 +53,7 @@
 
 void Replica::StartPreVote() {
   this->votes = {this->id};
+  this->refusals.clear();
   this->ChangeRole(Role::kPreCandidate, ReplicaId());
   const Term next_term = this->hard_state.term + 1;
   for (const ReplicaId& voter : this->CurrentMembership().voters) {
@@ -68,6 +69,7 @@
   this->hard_state = {this->hard_state.term + 1, this->id};
   this->output.durable.hard_state = true;
   this->votes.clear();
+  this->refusals.clear();
   this->ResetElectionDeadline();
   this->ChangeRole(Role::kCandidate, ReplicaId());
   // A quorum that votes for this replica answers after this time.
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -9,6 +9,7 @@
 #include "control/fleet_view.h"
 #include "control/group_formation.h"
 #include "control/group_joiner.h"
+#include "control/group_monitor.h"
 #include "control/keyed_thread_pool.h"
 #include "control/lease_service.h"
 #include "control/list_service.h"
@@ -65,6 +66,7 @@
   std::shared_ptr<KeyedThreadPool> reply_threads;
   std::unique_ptr<PeerTransport> transport;
   std::unique_ptr<ReplicaRunner> replica;
+  std::unique_ptr<GroupMonitor> monitor;
   std::unique_ptr<OutcomeWriter> outcomes;
   std::unique_ptr<GroupFormation> formation;
   std::unique_ptr<Proposer> proposer;
@@ -120,11 +122,14 @@
   this->replica =
       std::make_unique<ReplicaRunner>(this->options, *this->transport, this->replicated, [] {});
   BOOST_LEAF_AUTO(self, this->replica->Open());
+  LogDataFolder(this->replica->Status().replica);
   BOOST_LEAF_AUTO(writer, OutcomeWriter::Start(this->options.data_folder, this->replicated));
   this->outcomes = std::move(writer);
   this->formation =
       std::make_unique<GroupFormation>(this->options, *this->replica, this->addresses);
-  return this->formation->Start(self);
+  BOOST_LEAF_CHECK(this->formation->Start(self));
+  this->monitor = std::make_unique<GroupMonitor>(this->options, *this->replica);
+  return {};
 }
 
 Result<void> ControlServer::State::StartServers() {
@@ -133,7 +138,8 @@
                *this->members, this->addresses, *this->lists, this->reply_threads});
   this->api = std::make_unique<OperatorApi>(
       ApiParts{this->options, *this->replica, this->replicated, *this->proposer, *this->leases,
-               *this->members, *this->fleet, *this->outcomes, *this->upkeep, *this->transport});
+               *this->members, *this->fleet, *this->outcomes, *this->upkeep, *this->transport,
+               *this->monitor, *this->joiner});
   BOOST_LEAF_AUTO(rpc_started,
                   net::RpcServer::Start(
                       {.address = this->options.rpc_address,
@@ -184,6 +190,9 @@
   if (this->joiner != nullptr) {
     this->joiner->Stop();
   }
+  if (this->monitor != nullptr) {
+    this->monitor->Stop();
+  }
   if (this->lists != nullptr) {
     this->lists->Stop();
   }
--- a/src/control/group_joiner.cc
+++ b/src/control/group_joiner.cc
@@ -34,6 +34,13 @@
       return kMemberCheckInterval;
     }
   }
+  if (const std::optional<std::string> causes = this->report.EndRound(SystemClock().Now())) {
+    kLog.Warning("No control host accepted the join request of this replica; asking again.",
+                 {{"node", status.id.node},
+                  {"identity", status.id.identity},
+                  {"asked", this->addresses.All().size()},
+                  {"causes", *causes}});
+  }
   return kRetryInterval;
 }
 
@@ -47,18 +54,14 @@
                                    kCallTimeout));
         kLog.Info("The leader accepted the join request of this replica.",
                   {{"leader", peer.node}, {"answer", reply.message}});
-        this->refusal_logged = false;
+        this->report.Accept();
         return true;
       },
       [&](const Error& error) {
         if (error.kind == ErrorKind::kRetired) {
           this->retired = true;
         }
-        if (!this->refusal_logged && error.kind != ErrorKind::kNotLeader) {
-          kLog.Warning("The join request of this replica failed; asking again.",
-                       {{"asked", peer.node}, {"cause", error.message}});
-          this->refusal_logged = true;
-        }
+        this->report.Refuse(peer.node, error);
         return false;
       });
 }
--- a/src/control/group_joiner.h
+++ b/src/control/group_joiner.h
@@ -5,6 +5,7 @@
 
 #include "control/address_book.h"
 #include "control/group_formation.h"
+#include "control/join_report.h"
 #include "control/periodic_thread.h"
 #include "control/replica_runner.h"
 #include "masticrill/control/control_options.h"
@@ -22,6 +23,8 @@
   /// Whether the group has permanently removed the identity of this replica: the process must end,
   /// empty its data folder and restart.
   bool IsRetired() const { return this->retired; }
+  /// The join requests of this replica, by result.
+  const JoinCounter& Requests() const { return this->report.Counts(); }
 
  private:
   Duration RunOnce();
@@ -32,7 +35,7 @@
   AddressBook& addresses;
   const GroupFormation& formation;
   std::atomic<bool> retired = false;
-  bool refusal_logged = false;
+  JoinReport report;
   PeriodicThread thread;
 };
 
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -7,6 +7,8 @@
 #include <string_view>
 
 #include "control/fleet_view.h"
+#include "control/group_joiner.h"
+#include "control/group_monitor.h"
 #include "control/lease_service.h"
 #include "control/member_service.h"
 #include "control/outcome_writer.h"
@@ -68,6 +70,8 @@
   OutcomeWriter& outcomes;
   const Upkeep& upkeep;
   const PeerTransport& transport;
+  const GroupMonitor& monitor;
+  const GroupJoiner& joiner;
 };
 
 /// The operators' HTTP interface. Thread-safe.
@@ -91,6 +95,7 @@
   Answer Rollback(const net::HttpRequest& request, const OperatorId& author);
   Answer ChangeMembers(const net::HttpRequest& request);
   Answer Metrics();
+  void WriteGroupMetrics(MetricsWriter& writer, const consensus::ReplicaStatus& status) const;
 
   std::optional<Answer> CheckChangeHeaders(const net::HttpRequest& request,
                                            config::Number& expected);
--- a/src/control/operator_metrics.cc
+++ b/src/control/operator_metrics.cc
@@ -47,6 +47,7 @@
   writer.Gauge("masticrill_control_configuration_number", "The configuration number applied.",
                static_cast<double>(this->parts.state.Configuration()->number));
   writer.Gauge("masticrill_control_stopped", "1 after a storage error.", status.stopped ? 1 : 0);
+  this->WriteGroupMetrics(writer, status.replica);
   writer.Gauge("masticrill_control_claims", "At-most-once claims kept.",
                static_cast<double>(sizes.claims));
   writer.Gauge("masticrill_control_pins", "Session pins kept.", static_cast<double>(sizes.pins));
@@ -64,4 +65,35 @@
   return {200, {{"Content-Type", "text/plain; charset=utf-8"}}, writer.Text()};
 }
 
+/// The group as this replica knows it. What only a leader knows is left out at other replicas.
+void OperatorApi::WriteGroupMetrics(MetricsWriter& writer,
+                                    const consensus::ReplicaStatus& status) const {
+  writer.Gauge("masticrill_control_voters", "Voters of the group.",
+               static_cast<double>(status.membership.voters.size()));
+  writer.Gauge("masticrill_control_learners", "Learners of the group.",
+               static_cast<double>(status.membership.learners.size()));
+  if (status.role == consensus::Role::kLeader) {
+    const std::size_t silent =
+        SilentVoters(status, this->parts.options.timings.election_timeout, this->clock.Now())
+            .size();
+    writer.Gauge("masticrill_control_voters_heard",
+                 "Voters, the leader included, that it heard from within an election timeout.",
+                 static_cast<double>(status.membership.voters.size() - silent));
+    writer.Gauge("masticrill_control_voters_to_spare",
+                 "Voters that may still be lost before commits stop.",
+                 VotersToSpare(status.membership, silent));
+  }
+  writer.Header("masticrill_control_part", "1 for this replica's part in the group.", "gauge");
+  for (const MemberPart part : kAllMemberParts) {
+    writer.Labelled("masticrill_control_part", "part", ToString(part),
+                    PartOf(status) == part ? 1 : 0);
+  }
+  writer.Gauge("masticrill_control_seconds_without_leader",
+               "Time since this replica knew a leader.",
+               std::chrono::duration<double>(this->parts.monitor.WithoutLeader()).count());
+  writer.EnumCounters("masticrill_control_join_requests_total",
+                      "Join requests of this replica, by result.", "result",
+                      this->parts.joiner.Requests());
+}
+
 }  // namespace masticrill::control
--- a/test/consensus/replica_test.cc
+++ b/test/consensus/replica_test.cc
@@ -93,6 +93,24 @@
   CHECK(elected.Commits());
 }
 
+TEST_CASE("the status of a replica in an election tells who granted and who refused its vote") {
+  Elected elected(3);
+  Group::Host& follower = elected.Follower(0);
+  const ReplicaId other = elected.Follower(1).Id();
+  elected.Cut(elected.leader->node, follower.node);
+  elected.Cut(follower.node, elected.leader->node);
+  const TimePoint cut_at = elected.group.now;
+  while (follower.replica->Status().refusals.empty()) {
+    elected.group.RunSoundly(milliseconds(2));
+    REQUIRE(elected.group.now - cut_at <= seconds(1));
+  }
+  const ReplicaStatus status = follower.replica->Status();
+  CHECK(status.role == Role::kPreCandidate);
+  CHECK(status.votes == std::vector{follower.Id()});
+  CHECK(status.refusals == std::vector{other});
+  CHECK(status.membership_index == 1);
+}
+
 TEST_CASE("a leader without a quorum steps down, and its quorum evidence stays old") {
   Elected elected(3);
   const TimePoint cut_at = elected.group.now;
--- a/test/control/http_test.cc
+++ b/test/control/http_test.cc
@@ -102,6 +102,32 @@
   CHECK(HeaderOf(cluster.Call(0, GetCall("/v1/config")), "ETag") == "\"2\"");
 }
 
+TEST_CASE("the metrics tell the members of the group and the voters that the leader hears") {
+  ControlCluster cluster(3);
+  cluster.StartAll();
+  const auto has = [&](std::size_t index, const std::string& line) {
+    return cluster.Call(index, GetCall("/metrics", "")).body.find("\n" + line + "\n") !=
+           std::string::npos;
+  };
+  const auto leader_tells = [&](const std::string& heard, const std::string& to_spare) {
+    return WaitUntil([&] {
+      const std::string body = cluster.Call(cluster.WaitForLeader(), GetCall("/metrics", "")).body;
+      return body.find("\nmasticrill_control_voters_heard " + heard + "\n") != std::string::npos &&
+             body.find("\nmasticrill_control_voters_to_spare " + to_spare + "\n") !=
+                 std::string::npos;
+    });
+  };
+  CHECK(leader_tells("3", "1"));
+  const std::size_t follower = cluster.Follower();
+  CHECK(has(follower, "masticrill_control_voters 3"));
+  CHECK(has(follower, "masticrill_control_learners 0"));
+  CHECK(has(follower, "masticrill_control_part{part=\"voter\"} 1"));
+  CHECK(has(follower, "masticrill_control_part{part=\"none\"} 0"));
+  CHECK(has(follower, "masticrill_control_join_requests_total{result=\"not_leader\"} 0"));
+  cluster.Crash(follower);
+  CHECK(leader_tells("2", "0"));
+}
+
 TEST_CASE("a rollback puts the old document in force under a new number") {
   ControlCluster cluster(1);
   cluster.StartAll();
