--- a/src/control/group_monitor.cc
+++ b/src/control/group_monitor.cc
@@ -38,6 +38,7 @@
                 {"term", replica.term},
                 {"last_index", replica.last_index},
                 {"ms", duration_cast<milliseconds>(notice.without_leader).count()},
+                {"voters", FormatReplicas(replica.membership.voters)},
                 {"granted", FormatReplicas(notice.granted)},
                 {"refused", FormatReplicas(notice.refused)},
                 {"unanswered", FormatReplicas(notice.unanswered)},
--- a/src/control/group_report.cc
+++ b/src/control/group_report.cc
@@ -114,8 +114,9 @@
   }
   this->no_leader_told_at = now;
   GroupNotice notice{.event = GroupEvent::kNoLeader, .without_leader = this->without_leader};
+  const bool asks = status.membership.IsVoter(status.id);
   for (const consensus::ReplicaId& voter : status.membership.voters) {
-    if (voter == status.id) {
+    if (!asks || voter == status.id) {
       continue;
     }
     const bool grants = this->granted.contains(voter);
--- a/src/control/group_report.h
+++ b/src/control/group_report.h
@@ -40,7 +40,8 @@
 
 struct GroupNotice {
   GroupEvent event = GroupEvent::kMembershipChanged;
-  /// For kNoLeader: how long, and the other voters by their answers since the previous notice.
+  /// For kNoLeader: how long, and, at a voter, the other voters by their answers since the previous
+  /// notice.
   Duration without_leader{0};
   std::vector<consensus::ReplicaId> granted = {};
   std::vector<consensus::ReplicaId> refused = {};
--- a/test/control/group_report_test.cc
+++ b/test/control/group_report_test.cc
@@ -85,6 +85,17 @@
   CHECK(report.WithoutLeader() == milliseconds(11'900));
 }
 
+TEST_CASE("a learner without a leader lists no voters, since it asks none for a vote") {
+  GroupReport report(kElectionTimeout);
+  consensus::DriverStatus status = Follower({"b", "c"});
+  status.replica.membership.learners.push_back(Replica("a"));
+  report.Observe(status, kStart);
+  const auto notices = Only(report.Observe(status, kStart + seconds(2)), GroupEvent::kNoLeader);
+  REQUIRE(notices.size() == 1);
+  CHECK(notices.front() ==
+        GroupNotice{.event = GroupEvent::kNoLeader, .without_leader = seconds(2)});
+}
+
 TEST_CASE("a short election is not told") {
   GroupReport report(kElectionTimeout);
   consensus::DriverStatus status = Follower({"a", "b", "c"});
