--- a/src/control/group_joiner.cc
+++ b/src/control/group_joiner.cc
@@ -38,6 +38,15 @@
       return kMemberCheckInterval;
     }
   }
+  const std::optional<std::string> causes = this->report.EndRound(this->clock.Now());
+  // A member is refused as long as the whole group is without a leader, which has lines of its own.
+  if (causes && !is_member) {
+    kLog.Warning("No control host accepted the join request of this replica; asking again.",
+                 {{"node", status.id.node},
+                  {"identity", status.id.identity},
+                  {"asked", this->addresses.All().size()},
+                  {"causes", *causes}});
+  }
   return is_member ? kMemberCheckInterval : kRetryInterval;
 }
 
@@ -60,18 +69,14 @@
                                    kCallTimeout));
         kLog.Info("The leader accepted the join request of this replica.",
                   {{"asked", peer.node}, {"answer", reply.message}});
-        this->refusal_logged = false;
+        this->report.Accept();
         return true;
       },
       [&](const Error& error) {
         if (error.kind == ErrorKind::kRetired) {
           this->retired = true;
         }
-        if (!this->refusal_logged && error.kind != ErrorKind::kNotLeader) {
-          kLog.Warning("The join request of this replica failed; asking again.",
-                       {{"asked", peer.node}, {"cause", error.message}});
-          this->refusal_logged = true;
-        }
+        this->report.Refuse(peer.node, error);
         return false;
       });
 }
