Start a replica anew once the disk that stopped it takes writes again

Callers saw: with the leader's loss after a disk had been full for some seconds, no leader until that machine was back: requests refused with no_lease.

Cause: after a storage error the replica stops for good, to be safe, while its process goes on: it serves operators and leases with 503, counts as a voter and never votes again, until somebody restarts the process. The group goes on without redundancy and nothing outside tells.

Change: ControlServer::NeedsRestart tells when a stopped replica's data folder takes a synced write again; the platform's control program then destroys the server and starts another one in the same process, which loads the log from the disk like any start.

Evidence: the new test of replicated_test.cc, with folders in the place of temporary files (NeedsRestart did not exist before, so it cannot be run there).

--- a/include/masticrill/control/control_server.h
+++ b/include/masticrill/control/control_server.h
@@ -38,6 +38,10 @@
   /// Whether the group has permanently removed the identity of this replica: the process must empty
   /// its data folder and restart.
   bool IsRetired() const;
+  /// Whether the replica has stopped after a storage error and its data folder takes writes again.
+  /// The replica never votes again by itself: destroy this server and start another one. Writes to
+  /// the disk after such an error.
+  bool NeedsRestart() const;
 
   /// Planned stop: rejects new changes, transfers leadership, ends requests in progress and syncs
   /// the files.
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -270,6 +270,10 @@
 
 bool ControlServer::IsRetired() const { return this->state->joiner->IsRetired(); }
 
+bool ControlServer::NeedsRestart() const {
+  return this->state->replica->Status().stopped && TakesWrites(this->state->options.data_folder);
+}
+
 bool ControlServer::IsReady() const { return this->state->leases->HasQuorumEvidence(); }
 
 void ControlServer::Stop() {
--- a/src/control/durable_file.cc
+++ b/src/control/durable_file.cc
@@ -49,6 +49,19 @@
   return Check(files.SyncFolder(folder), folder);
 }
 
+bool TakesWrites(const std::string& folder) {
+  constexpr const char* kName = "write_check";
+  constexpr std::size_t kBytes = std::size_t{256} << 10U;
+  return HandleErrors(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(WriteDurably(folder, kName, std::string(kBytes, '\0')));
+        storage::PosixFiles files;
+        BOOST_LEAF_CHECK(Check(files.Remove(folder + "/" + kName), folder));
+        return true;
+      },
+      [](const Error&) { return false; });
+}
+
 Result<std::string> ReadIfPresent(const std::string& path) {
   storage::PosixFiles files;
   std::string content;
--- a/src/control/durable_file.h
+++ b/src/control/durable_file.h
@@ -15,6 +15,9 @@
 Result<void> WriteDurably(const std::string& folder, const std::string& name,
                           std::string_view content);
 
+/// Whether the folder takes a write that is larger than what a start needs, and syncs it.
+bool TakesWrites(const std::string& folder);
+
 /// The content of a file; empty when the file does not exist.
 Result<std::string> ReadIfPresent(const std::string& path);
 
--- a/test/control/replicated_test.cc
+++ b/test/control/replicated_test.cc
@@ -263,5 +263,40 @@
   CHECK(HeaderOf(resent, "ETag") == "\"" + std::to_string(kChanges + 1) + "\"");
 }
 
+// Failure: a replica that stopped after a storage error stays without a vote when its disk works
+// again, so that the loss of one more host stops the group.
+TEST_CASE("a replica votes again after its disk refused writes for some time") {
+  ControlTimings timings;
+  timings.snapshot_after_entries = 5;
+  ControlCluster cluster(3, timings);
+  cluster.StartAll();
+  const std::size_t leader = cluster.WaitForLeader();
+  const std::size_t refused = cluster.Follower();
+  const std::size_t other = cluster.Size() - leader - refused;
+  // Folders in the place of temporary files: neither a snapshot nor the check can be written.
+  const std::vector<std::string> obstacles = {cluster.FolderOf(refused) + "/replica/snapshot.tmp",
+                                              cluster.FolderOf(refused) + "/write_check.new"};
+  for (const std::string& obstacle : obstacles) {
+    std::filesystem::create_directory(obstacle);
+  }
+  std::uint64_t number = 1;
+  REQUIRE(WaitUntil([&] {
+    const std::string team = "t-" + std::to_string(number);
+    number += cluster.Call(leader, PatchCall(number, team, TeamPatch(team))).status == 200 ? 1 : 0;
+    return cluster.Call(refused, GetCall("/healthz")).status == 503;
+  }));
+  CHECK_FALSE(cluster.At(refused).NeedsRestart());
+  for (const std::string& obstacle : obstacles) {
+    std::filesystem::remove(obstacle);
+  }
+  REQUIRE(cluster.At(refused).NeedsRestart());
+  cluster.Crash(refused);
+  cluster.Start(refused);
+  cluster.Crash(other);
+  CHECK(WaitUntil([&] {
+    return cluster.Call(leader, PatchCall(number, "last", TeamPatch("last"))).status == 200;
+  }));
+}
+
 }  // namespace
 }  // namespace masticrill::control
