Serve all connections that arrive at an RPC server at once

Callers would see: after a restart of many processes, control hosts and entries are turned away by hosts that are up ("The peer closed the connection during the handshake"), retry after growing pauses, and find a control host or a peer of the group later than they could.

Cause: the accepting thread queues a connection until a thread of the pool takes it, and the queue held one. A second connection that arrived before that thread was scheduled was closed.

The limit on open connections is that of the threads, as before.

--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -123,7 +123,7 @@
         std::make_unique<Poco::ThreadPool>(2, options.max_connections + 1, 60, kThreadStackBytes);
     Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
     params->setMaxThreads(options.max_connections);
-    params->setMaxQueued(1);
+    params->setMaxQueued(kListenBacklog);
     state->server = std::make_unique<Poco::Net::TCPServer>(new ConnectionFactory(state->shared),
                                                            *state->pool, socket, params);
     state->server->start();
--- a/test/net/rpc_test.cc
+++ b/test/net/rpc_test.cc
@@ -1,5 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 #include "masticrill/net/rpc_client.h"
 #include "masticrill/net/rpc_server.h"
 
@@ -113,5 +117,30 @@
   CHECK(CallOnce(client) == "unavailable");
 }
 
+// Failure: of the hosts that connect at once after a restart, many are turned away for no reason.
+TEST_CASE("connections that arrive at once are all served") {
+  constexpr int kClients = 64;
+  const auto server = StartServer("secret");
+  std::atomic<int> answered = 0;
+  std::atomic<bool> go = false;
+  std::vector<std::thread> threads;
+  for (int index = 0; index < kClients; ++index) {
+    threads.emplace_back([&] {
+      RpcClient client(server->Address(), MakeCredentials("client", "secret"), {});
+      while (!go) {
+        std::this_thread::yield();
+      }
+      if (CallOnce(client) == "a-7") {
+        ++answered;
+      }
+    });
+  }
+  go = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(answered.load() == kClients);
+}
+
 }  // namespace
 }  // namespace masticrill::net
