Include the time to connect in the timeout of an RPC call

Callers would see: a lease renewal with a timeout of 0.8 s, a question to a learner with 0.3 s or a poll of the list with 0.5 s lasts up to 2.5 s against a host that accepts and stays silent (frozen, slow), and once more for each other caller that waits for the same connection. (The figures are the limits in the code.)

Cause: the timeout began after the connection and its handshake, and callers waited for the mutex of the one that was connecting without a limit.

The deadline of a call now bounds the wait for the mutex, the connect, each step of the handshake and the wait for the answer. Exchanges that are opened without a timeout keep the limits of the channel.

--- a/include/masticrill/net/rpc_client.h
+++ b/include/masticrill/net/rpc_client.h
@@ -80,7 +80,14 @@
                            0);
   }
 
-  /// The same, with the frames going to a queue that several exchanges share.
+  /// The same; fails with kTimeout or kUnavailable when there is no connection within the timeout.
+  template <typename Message>
+  Result<std::shared_ptr<Exchange>> Open(const Message& message, Duration timeout) {
+    return this->OpenFrame(Message::kType, EncodePayload(message), std::make_shared<FrameQueue>(),
+                           0, SystemClock().Now() + timeout);
+  }
+
+  /// The same as the first, with the frames going to a queue that several exchanges share.
   template <typename Message>
   Result<std::shared_ptr<Exchange>> Open(const Message& message,
                                          const std::shared_ptr<FrameQueue>& queue,
@@ -94,8 +101,9 @@
     return this->SendFrame(Frame{Message::kType, exchange.Correlation(), EncodePayload(message)});
   }
 
-  /// Sends a request and waits for its single answer. Fails with kUnavailable or kTimeout, after
-  /// which the peer may have acted on it, or with the error that the peer replied.
+  /// Sends a request and waits for its single answer. The timeout includes the time to connect.
+  /// Fails with kUnavailable or kTimeout, after which the peer may have acted on it, or with the
+  /// error that the peer replied.
   template <typename Reply, typename Message>
   Result<Reply> Call(const Message& message, Duration timeout) {
     BOOST_LEAF_AUTO(frame, this->CallFrame(Message::kType, EncodePayload(message), timeout));
@@ -122,6 +130,11 @@
   Result<std::shared_ptr<Exchange>> OpenFrame(MessageType type, std::string payload,
                                               const std::shared_ptr<FrameQueue>& queue,
                                               ExchangeTag tag);
+  Result<std::shared_ptr<Exchange>> OpenFrame(MessageType type, std::string payload,
+                                              const std::shared_ptr<FrameQueue>& queue,
+                                              ExchangeTag tag, TimePoint deadline);
+  Result<std::shared_ptr<Channel>> ConnectBefore(TimePoint deadline);
+  Error NoAnswerInTime() const;
   Result<Frame> CallFrame(MessageType type, std::string payload, Duration timeout);
   bool SendFrame(const Frame& frame);
 
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -1,5 +1,6 @@
 #include "masticrill/net/rpc_client.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -74,7 +75,7 @@
   std::thread reader;
   std::map<std::uint64_t, std::shared_ptr<Exchange>> exchanges;
   std::uint64_t last_correlation = 0;
-  std::mutex connect_mutex;
+  std::timed_mutex connect_mutex;
 
   void Dispatch(Frame frame) {
     std::shared_ptr<Exchange> exchange;
@@ -124,21 +125,49 @@
   this->state->JoinReader();
 }
 
+Error RpcClient::NoAnswerInTime() const {
+  return {ErrorKind::kTimeout, this->address + " did not answer in time. Check the process there."};
+}
+
+/// The open connection, or a new one. Waits for another thread that is connecting.
+Result<std::shared_ptr<Channel>> RpcClient::ConnectBefore(TimePoint deadline) {
+  const SystemClock clock;
+  std::unique_lock connecting(this->state->connect_mutex, std::defer_lock);
+  if (deadline == TimePoint::max()) {
+    connecting.lock();
+  } else if (!connecting.try_lock_for(deadline - clock.Now())) {
+    return Fail(this->NoAnswerInTime());
+  }
+  if (this->state->channel != nullptr && !this->state->channel->Closed()) {
+    return this->state->channel;
+  }
+  this->state->JoinReader();
+  ChannelLimits limits_left = this->limits;
+  if (deadline != TimePoint::max()) {
+    const auto left = duration_cast<milliseconds>(deadline - clock.Now());
+    if (left <= milliseconds::zero()) {
+      return Fail(this->NoAnswerInTime());
+    }
+    limits_left.connect_timeout = std::min(limits_left.connect_timeout, left);
+    limits_left.handshake_timeout = std::min(limits_left.handshake_timeout, left);
+  }
+  BOOST_LEAF_AUTO(connected, Channel::Connect(this->address, this->credentials, limits_left));
+  const std::lock_guard lock(this->state->mutex);
+  this->state->channel = connected;
+  this->state->reader = std::thread([this, connected] { this->state->Read(connected); });
+  return connected;
+}
+
 Result<std::shared_ptr<Exchange>> RpcClient::OpenFrame(MessageType type, std::string payload,
                                                        const std::shared_ptr<FrameQueue>& queue,
                                                        ExchangeTag tag) {
-  std::shared_ptr<Channel> channel;
-  {
-    const std::lock_guard connecting(this->state->connect_mutex);
-    if (this->state->channel == nullptr || this->state->channel->Closed()) {
-      this->state->JoinReader();
-      BOOST_LEAF_AUTO(connected, Channel::Connect(this->address, this->credentials, this->limits));
-      const std::lock_guard lock(this->state->mutex);
-      this->state->channel = connected;
-      this->state->reader = std::thread([this, connected] { this->state->Read(connected); });
-    }
-    channel = this->state->channel;
-  }
+  return this->OpenFrame(type, std::move(payload), queue, tag, TimePoint::max());
+}
+
+Result<std::shared_ptr<Exchange>> RpcClient::OpenFrame(MessageType type, std::string payload,
+                                                       const std::shared_ptr<FrameQueue>& queue,
+                                                       ExchangeTag tag, TimePoint deadline) {
+  BOOST_LEAF_AUTO(channel, this->ConnectBefore(deadline));
   std::shared_ptr<Exchange> exchange;
   {
     const std::lock_guard lock(this->state->mutex);
@@ -158,17 +187,18 @@
 }
 
 Result<Frame> RpcClient::CallFrame(MessageType type, std::string payload, Duration timeout) {
-  BOOST_LEAF_AUTO(exchange,
-                  this->OpenFrame(type, std::move(payload), std::make_shared<FrameQueue>(), 0));
-  FrameQueue::Next next = exchange->WaitNext(timeout);
+  const SystemClock clock;
+  const TimePoint deadline = clock.Now() + timeout;
+  BOOST_LEAF_AUTO(exchange, this->OpenFrame(type, std::move(payload),
+                                            std::make_shared<FrameQueue>(), 0, deadline));
+  FrameQueue::Next next = exchange->WaitNext(std::max(deadline - clock.Now(), Duration::zero()));
   this->Finish(*exchange);
   switch (next.status) {
     case FrameQueue::Status::kClosed:
       return Fail(ErrorKind::kUnavailable,
                   "The connection to " + this->address + " broke. Check the process there.");
     case FrameQueue::Status::kTimeout:
-      return Fail(ErrorKind::kTimeout,
-                  this->address + " did not answer in time. Check the process there.");
+      return Fail(this->NoAnswerInTime());
     case FrameQueue::Status::kFrame:
       break;
   }
--- a/test/net/rpc_test.cc
+++ b/test/net/rpc_test.cc
@@ -1,3 +1,5 @@
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 #include <doctest/doctest.h>
 
 #include <atomic>
@@ -117,6 +119,59 @@
   CHECK(CallOnce(client) == "unavailable");
 }
 
+/// Accepts connections into its backlog and never answers, like a process that is frozen.
+class SilentPeer {
+ public:
+  SilentPeer() : socket(Poco::Net::SocketAddress("127.0.0.1:0")) {}
+  std::string Address() const { return this->socket.address().toString(); }
+  /// Resets the connections in the backlog.
+  void Close() { this->socket.close(); }
+
+ private:
+  Poco::Net::ServerSocket socket;
+};
+
+constexpr ChannelLimits kPatientLimits{.handshake_timeout = std::chrono::minutes(30)};
+
+std::string CallBriefly(RpcClient& client) {
+  return HandleErrors(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(
+            client.Call<AttemptStarted>(CancelAttempt{AttemptId("a-1")}, milliseconds(50)));
+        return std::string("answered");
+      },
+      [](const Error& error) { return std::string(ToString(error.kind)); });
+}
+
+// Failure: a call to a frozen host blocks its caller for the time-outs of the connection instead.
+TEST_CASE("the timeout of a call includes the handshake with a silent peer") {
+  const SilentPeer peer;
+  RpcClient client(peer.Address(), MakeCredentials("client", "secret"), kPatientLimits);
+  CHECK(CallBriefly(client) == "unavailable");
+}
+
+// Failure: callers with a timeout queue behind another one that is connecting to a frozen host.
+TEST_CASE("the timeout of a call includes the wait for another caller that is connecting") {
+  SilentPeer peer;
+  RpcClient client(peer.Address(), MakeCredentials("client", "secret"), kPatientLimits);
+  std::atomic<bool> connecting = false;
+  std::thread other([&] {
+    connecting = true;
+    HandleErrors(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(client.Open(CancelAttempt{AttemptId("a-2")}));
+          return true;
+        },
+        [](const Error&) { return false; });
+  });
+  while (!connecting) {
+    std::this_thread::yield();
+  }
+  CHECK(CallBriefly(client) != "answered");
+  peer.Close();
+  other.join();
+}
+
 // Failure: of the hosts that connect at once after a restart, many are turned away for no reason.
 TEST_CASE("connections that arrive at once are all served") {
   constexpr int kClients = 64;
