Bound the time in which the reports of all control hosts are collected

Callers would see: the leader promotes a learner, removes a lost voter and publishes the voters to nodes late, since each round of its upkeep first connects to every address that it ever learned: 0.5 s for each host that is gone and 2 s for each that is frozen, in turn (by the limits in the code). Addresses of replaced machines are never forgotten, so rounds get longer with each replacement.

Cause: only the wait for the replies had a limit.

Hosts with a connection are asked first, the others are connected in turn within the same second, and each round begins with another one, so that none is left out for good.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -1,5 +1,6 @@
 #include "control/fleet_view.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -29,23 +30,34 @@
 }  // namespace
 
 std::vector<net::NodeReport> FleetView::CollectReports() {
-  std::vector<PendingCall> calls;
-  const NodeId self = this->addresses.Credentials().self.node;
+  const TimePoint deadline = this->clock.Now() + kReplyTimeout;
+  const auto left = [&] { return std::max(deadline - this->clock.Now(), Duration::zero()); };
+  std::vector<std::shared_ptr<net::RpcClient>> clients;
   for (const PeerAddress& peer : this->addresses.All()) {
-    const std::shared_ptr<net::RpcClient> client = this->addresses.Client(peer.node);
+    clients.push_back(this->addresses.Client(peer.node));
+  }
+  // Connecting to a host that is down takes long. Each of the others is connected in its turn.
+  if (!clients.empty()) {
+    const std::size_t first = this->rounds++ % clients.size();
+    std::rotate(clients.begin(), clients.begin() + static_cast<std::ptrdiff_t>(first),
+                clients.end());
+  }
+  std::stable_partition(clients.begin(), clients.end(),
+                        [](const auto& client) { return client->Peer().has_value(); });
+  const NodeId self = this->addresses.Credentials().self.node;
+  std::vector<PendingCall> calls;
+  for (const std::shared_ptr<net::RpcClient>& client : clients) {
     HandleErrors(
         [&]() -> Result<bool> {
-          BOOST_LEAF_AUTO(exchange, client->Open(net::FleetRequest{self}));
+          BOOST_LEAF_AUTO(exchange, client->Open(net::FleetRequest{self}, left()));
           calls.push_back({client, exchange});
           return true;
         },
         [](const Error&) { return false; });
   }
   std::vector<net::NodeReport> reports = this->nodes.Reports(this->clock.Now());
-  const TimePoint deadline = this->clock.Now() + kReplyTimeout;
   for (const auto& [client, exchange] : calls) {
-    const Duration left = std::max(deadline - this->clock.Now(), Duration::zero());
-    const std::vector<net::NodeReport> remote = ReadReply(exchange->WaitNext(left));
+    const std::vector<net::NodeReport> remote = ReadReply(exchange->WaitNext(left()));
     client->Finish(*exchange);
     reports.insert(reports.end(), remote.begin(), remote.end());
   }
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -1,6 +1,7 @@
 #ifndef MASTICRILL_CONTROL_FLEET_VIEW_H_
 #define MASTICRILL_CONTROL_FLEET_VIEW_H_
 
+#include <atomic>
 #include <vector>
 
 #include "control/address_book.h"
@@ -14,14 +15,17 @@
   /// The arguments must outlive the view.
   FleetView(NodeRegistry& nodes, AddressBook& addresses) : nodes(nodes), addresses(addresses) {}
 
-  /// Requests the reports of the other control hosts, waits at most kReplyTimeout for all replies,
-  /// and merges them with the reports of this host. Hosts that do not reply are left out.
+  /// Requests the reports of the other control hosts and merges them with the reports of this host.
+  /// Takes at most kReplyTimeout, also when many hosts are down; those that do not reply are left
+  /// out.
   std::vector<net::NodeReport> CollectReports();
 
  private:
   NodeRegistry& nodes;
   AddressBook& addresses;
   SystemClock clock;
+  /// Number of calls of CollectReports.
+  std::atomic<std::size_t> rounds = 0;
 };
 
 }  // namespace masticrill::control
