Start a control host although a file of its outcome log is damaged

Callers would see: after a loss of power a control host never starts again, and its vote is missing for good, because of a file that the replica does not need.

Cause: one write of the outcome log holds many records. When only a later part of it reaches the disk, the file has a damaged record before its end, which OutcomeLog::Open refuses; the host passed that error on as its own.

Evidence: before the change the new test failed with "A record in the middle of .../outcomes/outcomes- is damaged."; after it the host starts and serves.

OutcomeLog still refuses the file. The writer logs the error, renames the file and goes on behind the file before it: the records that are still in memory are written again, others are counted as a gap.

--- a/src/control/outcome_log.cc
+++ b/src/control/outcome_log.cc
@@ -17,6 +17,7 @@
 
 constexpr std::uint64_t kMaxFileBytes = std::uint64_t{64} << 20U;
 constexpr std::string_view kPrefix = "outcomes-";
+constexpr std::string_view kDamagedPrefix = "damaged-";
 /// Length and CRC-32 checksum of the payload, 4 bytes each.
 constexpr std::size_t kHeaderBytes = 8;
 
@@ -144,6 +145,14 @@
   return {};
 }
 
+Result<void> OutcomeLog::SetLastFileAside() {
+  const std::string name = FileName(ListFiles(this->files, this->folder).back());
+  const std::string path = this->folder + "/" + name;
+  const std::string new_path = this->folder + "/" + std::string(kDamagedPrefix) + name;
+  BOOST_LEAF_CHECK(this->Check(this->files.Rename(path, new_path), path));
+  return this->Check(this->files.SyncFolder(this->folder), this->folder);
+}
+
 Result<void> OutcomeLog::StartFile(std::uint64_t first) {
   if (this->handle) {
     this->files.Close(*std::exchange(this->handle, std::nullopt));
--- a/src/control/outcome_log.h
+++ b/src/control/outcome_log.h
@@ -25,6 +25,8 @@
   /// Opens the newest file and truncates an incomplete record at its end. Fails with
   /// kCorruptStorage when a record before the end is damaged.
   Result<void> Open();
+  /// Renames the last file, so that Open leaves it out. Called after Open has failed.
+  Result<void> SetLastFileAside();
   /// Appends the records in order; durable on return.
   Result<void> Append(const std::vector<state::ChainedRecord>& records);
 
--- a/src/control/outcome_writer.cc
+++ b/src/control/outcome_writer.cc
@@ -1,5 +1,6 @@
 #include "control/outcome_writer.h"
 
+#include <optional>
 #include <utility>
 
 #include "masticrill/common/log.h"
@@ -19,12 +20,32 @@
 Result<std::unique_ptr<OutcomeWriter>> OutcomeWriter::Start(const std::string& data_folder,
                                                             const state::ReplicatedState& state) {
   std::unique_ptr<OutcomeWriter> writer(new OutcomeWriter(data_folder + "/outcomes", state));
-  BOOST_LEAF_CHECK(writer->log.Open());
+  BOOST_LEAF_CHECK(writer->OpenLog());
   writer->last_sequence = writer->log.Last().sequence;
   writer->thread = std::make_unique<PeriodicThread>([raw = writer.get()] { return raw->Write(); });
   return writer;
 }
 
+Result<void> OutcomeWriter::OpenLog() {
+  while (true) {
+    const std::optional<Error> error = HandleErrors(
+        [&]() -> Result<std::optional<Error>> {
+          BOOST_LEAF_CHECK(this->log.Open());
+          return std::optional<Error>();
+        },
+        [](const Error& failure) { return std::optional<Error>(failure); });
+    if (!error) {
+      return {};
+    }
+    if (error->kind != ErrorKind::kCorruptStorage) {
+      return Fail(*error);
+    }
+    kLog.Error("A file of the outcome log is damaged; setting it aside.",
+               {{"cause", error->message}});
+    BOOST_LEAF_CHECK(this->log.SetLastFileAside());
+  }
+}
+
 void OutcomeWriter::Stop() {
   if (this->thread != nullptr) {
     this->thread->Stop();
--- a/src/control/outcome_writer.h
+++ b/src/control/outcome_writer.h
@@ -16,7 +16,8 @@
 /// failed write, nothing more is written until the process restarts. Getters are thread-safe.
 class OutcomeWriter {
  public:
-  /// Opens the log. `state` must outlive the writer.
+  /// Opens the log, and sets damaged files of it aside: the replica does not need them, and the
+  /// other control hosts have their records. `state` must outlive the writer.
   static Result<std::unique_ptr<OutcomeWriter>> Start(const std::string& data_folder,
                                                       const state::ReplicatedState& state);
 
@@ -31,6 +32,7 @@
  private:
   OutcomeWriter(std::string folder, const state::ReplicatedState& state);
 
+  Result<void> OpenLog();
   Duration Write();
   bool WriteBatch();
 
--- a/test/control/outcome_log_test.cc
+++ b/test/control/outcome_log_test.cc
@@ -122,5 +122,26 @@
                   .intact);
 }
 
+// Failure: after a loss of power the replica never starts again, because of an auxiliary file.
+TEST_CASE("a control host whose outcome log is damaged starts and serves") {
+  ControlCluster cluster(1);
+  const std::string folder = cluster.FolderOf(0) + "/outcomes";
+  std::filesystem::create_directories(folder);
+  {
+    OutcomeLog log(folder);
+    REQUIRE(Message([&] { return log.Open(); }) == "");
+    REQUIRE(Message([&] { return log.Append(MakeChain(3)); }) == "");
+  }
+  const std::filesystem::path damaged = OnlyFile(folder);
+  std::fstream file(damaged, std::ios::in | std::ios::out | std::ios::binary);
+  file.seekp(20);
+  file.put('?');
+  file.close();
+  REQUIRE(cluster.TryStart(0) == "");
+  CHECK(WaitUntil([&] { return cluster.AllReady(); }));
+  CHECK_FALSE(std::filesystem::exists(damaged));
+  CHECK(std::filesystem::exists(folder + "/damaged-" + damaged.filename().string()));
+}
+
 }  // namespace
 }  // namespace masticrill::control
