Start an observer from an empty folder

Callers would see: a control host without a disk does not start again after a kill, where its folder outlives the process; where several of them share the folder, they share one identity and one log.

Cause: an observer overwrites its files in place and does not lock its folder, on the ground that the folder ends with the process. A kill between the truncation and the write of a file leaves a folder that every later start refuses.

Evidence: before the change the new test failed with "replica/identity: The length or checksum is wrong."; after it the observer starts and joins.

An observer joins as a new replica at each start, so it now removes what it finds first. Observers at the same time in one folder still disturb each other.

--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -117,6 +117,10 @@
 
 Result<void> ControlServer::State::StartReplica() {
   BOOST_LEAF_CHECK(MakeFolders(this->options.data_folder));
+  // An observer's process may have ended in the middle of a write in place.
+  if (!this->options.may_vote) {
+    BOOST_LEAF_CHECK(RemoveFiles(this->options.data_folder));
+  }
   this->replica =
       std::make_unique<ReplicaRunner>(this->options, *this->transport, this->replicated, [] {});
   BOOST_LEAF_AUTO(self, this->replica->Open());
--- a/src/control/durable_file.cc
+++ b/src/control/durable_file.cc
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <filesystem>
 #include <system_error>
+#include <vector>
 
 #include "masticrill/storage/file_operations.h"
 
@@ -21,6 +22,24 @@
                   "). Check the disk and the folder's owner.");
 }
 
+Result<void> RemoveFilesExcept(const std::string& folder, const std::string& kept) {
+  storage::PosixFiles files;
+  std::vector<std::string> names;
+  BOOST_LEAF_CHECK(Check(files.List(folder, names), folder));
+  for (const std::string& name : names) {
+    const std::string path = folder + "/" + name;
+    if (name == kept) {
+      continue;
+    }
+    if (std::filesystem::is_directory(path)) {
+      BOOST_LEAF_CHECK(RemoveFilesExcept(path, ""));
+    } else {
+      BOOST_LEAF_CHECK(Check(files.Remove(path), path));
+    }
+  }
+  return Check(files.SyncFolder(folder), folder);
+}
+
 }  // namespace
 
 Result<void> MakeFolders(const std::string& folder) {
@@ -49,6 +68,8 @@
   return Check(files.SyncFolder(folder), folder);
 }
 
+Result<void> RemoveFiles(const std::string& folder) { return RemoveFilesExcept(folder, ""); }
+
 Result<std::string> ReadIfPresent(const std::string& path) {
   storage::PosixFiles files;
   std::string content;
--- a/src/control/durable_file.h
+++ b/src/control/durable_file.h
@@ -15,6 +15,9 @@
 Result<void> WriteDurably(const std::string& folder, const std::string& name,
                           std::string_view content);
 
+/// Removes the files in the folder and below it; durable on return. The folders stay.
+Result<void> RemoveFiles(const std::string& folder);
+
 /// The content of a file; empty when the file does not exist.
 Result<std::string> ReadIfPresent(const std::string& path);
 
--- a/test/control/joining_test.cc
+++ b/test/control/joining_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -173,5 +174,20 @@
   CHECK(HasTeam(cluster.Call(4, GetCall("/v1/config")).body, "kept"));
 }
 
+// Failure: an observer never starts again, since its former process was killed while it wrote.
+TEST_CASE("an observer starts from an empty folder, whatever a former process left there") {
+  ControlCluster cluster(3, QuickTimings());
+  EnableAutoJoin(cluster);
+  cluster.StartAll();
+  const std::size_t observer = cluster.AddJoining("c-observer");
+  cluster.Options(observer).auto_join = true;
+  cluster.Options(observer).may_vote = false;
+  const std::filesystem::path replica = cluster.FolderOf(observer) + "/replica";
+  std::filesystem::create_directories(replica);
+  std::ofstream(replica / "identity").close();
+  REQUIRE(cluster.TryStart(observer) == "");
+  CHECK(WaitUntil([&] { return VotersAt(cluster, observer).size() == 3; }));
+}
+
 }  // namespace
 }  // namespace masticrill::control
