Let a removed replica discard its data across a crash

Callers would see: a control host that the group has removed never starts again and never votes, if its process or its machine ends while it deletes its files.

Cause: the process deleted the folder while its replica and its outcome writer still wrote there, in the order of the directory and without a sync. A folder without its identity but with other files is refused at each start.

Evidence: with the removal not completed at the start, the new test failed with "replica/identity: The file is missing."; with it, the host starts under a new identity and becomes a voter.

The removed replica only marks its folder, durably, and ends. The next start removes the files before it opens the folder, and the mark last, so a crash at any point leads to the same removal again.

--- a/include/masticrill/control/control_server.h
+++ b/include/masticrill/control/control_server.h
@@ -35,9 +35,12 @@
   /// Adds or updates the addresses of other control hosts.
   void AddPeers(const std::vector<PeerAddress>& peers);
 
-  /// Whether the group has permanently removed the identity of this replica: the process must empty
-  /// its data folder and restart.
+  /// Whether the group has permanently removed the identity of this replica: the process must
+  /// discard its data and restart.
   bool IsRetired() const;
+  /// Makes the next start with this data folder begin without its content, as a new replica. Safe
+  /// while this one still writes; durable on return.
+  Result<void> DiscardData();
 
   /// Planned stop: rejects new changes, transfers leadership, ends requests in progress and syncs
   /// the files.
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -118,9 +118,8 @@
 Result<void> ControlServer::State::StartReplica() {
   BOOST_LEAF_CHECK(MakeFolders(this->options.data_folder));
   // An observer's process may have ended in the middle of a write in place.
-  if (!this->options.may_vote) {
-    BOOST_LEAF_CHECK(RemoveFiles(this->options.data_folder));
-  }
+  BOOST_LEAF_CHECK(this->options.may_vote ? RemoveDiscarded(this->options.data_folder)
+                                          : RemoveFiles(this->options.data_folder));
   this->replica =
       std::make_unique<ReplicaRunner>(this->options, *this->transport, this->replicated, [] {});
   BOOST_LEAF_AUTO(self, this->replica->Open());
@@ -265,6 +264,10 @@
 
 bool ControlServer::IsRetired() const { return this->state->joiner->IsRetired(); }
 
+Result<void> ControlServer::DiscardData() {
+  return this->state->options.may_vote ? Discard(this->state->options.data_folder) : Result<void>();
+}
+
 bool ControlServer::IsReady() const { return this->state->leases->HasQuorumEvidence(); }
 
 void ControlServer::Stop() {
--- a/src/control/durable_file.cc
+++ b/src/control/durable_file.cc
@@ -13,6 +13,8 @@
 
 using storage::Errno;
 
+constexpr const char* kDiscardMark = "discarded";
+
 Result<void> Check(Errno error, const std::string& path) {
   if (error == 0) {
     return {};
@@ -31,7 +33,8 @@
     if (name == kept) {
       continue;
     }
-    if (std::filesystem::is_directory(path)) {
+    std::error_code error;
+    if (std::filesystem::is_directory(path, error)) {
       BOOST_LEAF_CHECK(RemoveFilesExcept(path, ""));
     } else {
       BOOST_LEAF_CHECK(Check(files.Remove(path), path));
@@ -70,6 +73,17 @@
 
 Result<void> RemoveFiles(const std::string& folder) { return RemoveFilesExcept(folder, ""); }
 
+Result<void> Discard(const std::string& folder) { return WriteDurably(folder, kDiscardMark, ""); }
+
+Result<void> RemoveDiscarded(const std::string& folder) {
+  std::error_code error;
+  if (!std::filesystem::exists(folder + "/" + kDiscardMark, error)) {
+    return Check(error.value(), folder);
+  }
+  BOOST_LEAF_CHECK(RemoveFilesExcept(folder, kDiscardMark));
+  return RemoveFiles(folder);
+}
+
 Result<std::string> ReadIfPresent(const std::string& path) {
   storage::PosixFiles files;
   std::string content;
--- a/src/control/durable_file.h
+++ b/src/control/durable_file.h
@@ -18,6 +18,13 @@
 /// Removes the files in the folder and below it; durable on return. The folders stay.
 Result<void> RemoveFiles(const std::string& folder);
 
+/// Marks the content of the folder for removal by RemoveDiscarded; durable on return.
+Result<void> Discard(const std::string& folder);
+
+/// Removes the content of a folder that is marked for removal. A removal that a crash interrupted
+/// is completed by the next call.
+Result<void> RemoveDiscarded(const std::string& folder);
+
 /// The content of a file; empty when the file does not exist.
 Result<std::string> ReadIfPresent(const std::string& path);
 
--- a/test/control/joining_test.cc
+++ b/test/control/joining_test.cc
@@ -9,6 +9,7 @@
 
 #include "fakes/control_cluster.h"
 #include "fakes/control_operators.h"
+#include "masticrill/net/messages.h"
 
 namespace masticrill::control {
 namespace {
@@ -189,5 +190,44 @@
   CHECK(WaitUntil([&] { return VotersAt(cluster, observer).size() == 3; }));
 }
 
+/// The identity of the host's data folder, as it tells other replicas.
+storage::DataFolderId IdentityOf(ControlCluster& cluster, std::size_t index) {
+  net::RpcClient client(cluster.Options(index).rpc_address,
+                        NodeCredentials("c-test", net::NodeRole::kControl), {});
+  return HandleErrors(
+      [&]() -> Result<storage::DataFolderId> {
+        BOOST_LEAF_AUTO(reply, client.Call<net::FormReply>(net::FormRequest{}, kGenerous));
+        return storage::DataFolderId(reply.identity);
+      },
+      [](const Error& error) {
+        FAIL(error.message);
+        return storage::DataFolderId();
+      });
+}
+
+// Failure: a removed replica never starts again, since its process ended while it deleted its
+// files.
+TEST_CASE("a host that discards its data starts as a new replica after an interrupted removal") {
+  ControlCluster cluster(3, QuickTimings());
+  EnableAutoJoin(cluster);
+  cluster.StartAll();
+  const std::size_t discarding = cluster.Follower();
+  const storage::DataFolderId former = IdentityOf(cluster, discarding);
+  REQUIRE(HandleErrors(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(cluster.At(discarding).DiscardData());
+        return true;
+      },
+      [](const Error&) { return false; }));
+  cluster.Crash(discarding);
+  std::filesystem::remove(cluster.FolderOf(discarding) + "/replica/identity");
+  cluster.Options(discarding).join = true;
+  REQUIRE(cluster.TryStart(discarding) == "");
+  CHECK(IdentityOf(cluster, discarding) != former);
+  const std::string name = cluster.Options(discarding).node.Value();
+  CHECK(WaitUntil([&] { return VotersAt(cluster, discarding).contains(name); }));
+  CHECK_FALSE(std::filesystem::exists(cluster.FolderOf(discarding) + "/discarded"));
+}
+
 }  // namespace
 }  // namespace masticrill::control
