Let a coordinator that restarts finish the formation of its group

Callers would see: no group forms at all, forever, if the first voter by name is restarted between its acceptance of the membership and the end of the formation.

Cause: the platform says only at the first start that the whole system is new. The coordinator came back as a host that waits to be added, and the others wait for the coordinator.

Evidence: before the change the new test failed after 60 s with "Not every host became ready."; after it the three hosts form their group.

A replica whose folder holds an accepted membership goes on with the formation. It can form no other group: each data folder accepts one membership in its life, and peers that have a group are asked first. A coordinator that restarts before it accepted anything still waits; it cannot tell a new system from one whose seeds are all new.

--- a/src/control/group_formation.cc
+++ b/src/control/group_formation.cc
@@ -79,7 +79,9 @@
   BOOST_LEAF_CHECK(this->LoadAccepted());
   const std::vector<NodeId> members = this->InitialMembers();
   const bool listed = std::find(members.begin(), members.end(), own.node) != members.end();
-  if (!this->replica.IsEmpty() || this->options.join || !listed || !this->options.may_vote) {
+  // The others may still wait for a replica that has accepted a membership.
+  const bool waits_to_be_added = !this->accepted && (this->options.join || !listed);
+  if (!this->replica.IsEmpty() || waits_to_be_added || !this->options.may_vote) {
     this->done = true;
     this->replica.Run();
     return {};
--- a/test/control/joining_test.cc
+++ b/test/control/joining_test.cc
@@ -9,6 +9,7 @@
 
 #include "fakes/control_cluster.h"
 #include "fakes/control_operators.h"
+#include "masticrill/consensus/codec.h"
 #include "masticrill/net/messages.h"
 
 namespace masticrill::control {
@@ -229,5 +230,22 @@
   CHECK_FALSE(std::filesystem::exists(cluster.FolderOf(discarding) + "/discarded"));
 }
 
+// Failure: the coordinator restarts while the group forms, and all hosts wait for it forever.
+TEST_CASE("a coordinator that restarts after it accepted a membership forms the group") {
+  ControlCluster cluster(3, QuickTimings());
+  EnableAutoJoin(cluster);
+  consensus::Membership membership;
+  for (std::size_t index = 0; index < cluster.Size(); ++index) {
+    cluster.Start(index);
+    membership.voters.push_back({cluster.Options(index).node, IdentityOf(cluster, index)});
+    cluster.Crash(index);
+  }
+  std::ofstream(cluster.FolderOf(0) + "/formation", std::ios::binary)
+      << 'A' << consensus::EncodeMembership(membership);
+  cluster.Options(0).join = true;
+  cluster.StartAll();
+  CHECK(VotersAt(cluster, 1) == std::set<std::string>{"c0", "c1", "c2"});
+}
+
 }  // namespace
 }  // namespace masticrill::control
