--- a/src/control/durable_file.cc
+++ b/src/control/durable_file.cc
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <filesystem>
 #include <system_error>
+#include <vector>
 
 #include "masticrill/storage/file_operations.h"
 
@@ -12,6 +13,8 @@
 
 using storage::Errno;
 
+constexpr const char* kDiscardMark = "discarded";
+
 Result<void> Check(Errno error, const std::string& path) {
   if (error == 0) {
     return {};
@@ -21,6 +24,25 @@
                   "). Check the disk and the folder's owner.");
 }
 
+Result<void> RemoveFilesExcept(const std::string& folder, const std::string& kept) {
+  storage::PosixFiles files;
+  std::vector<std::string> names;
+  BOOST_LEAF_CHECK(Check(files.List(folder, names), folder));
+  for (const std::string& name : names) {
+    const std::string path = folder + "/" + name;
+    if (name == kept) {
+      continue;
+    }
+    std::error_code error;
+    if (std::filesystem::is_directory(path, error)) {
+      BOOST_LEAF_CHECK(RemoveFilesExcept(path, ""));
+    } else {
+      BOOST_LEAF_CHECK(Check(files.Remove(path), path));
+    }
+  }
+  return Check(files.SyncFolder(folder), folder);
+}
+
 }  // namespace
 
 Result<void> MakeFolders(const std::string& folder) {
@@ -62,6 +84,19 @@
       [](const Error&) { return false; });
 }
 
+Result<void> RemoveFiles(const std::string& folder) { return RemoveFilesExcept(folder, ""); }
+
+Result<void> Discard(const std::string& folder) { return WriteDurably(folder, kDiscardMark, ""); }
+
+Result<void> RemoveDiscarded(const std::string& folder) {
+  std::error_code error;
+  if (!std::filesystem::exists(folder + "/" + kDiscardMark, error)) {
+    return Check(error.value(), folder);
+  }
+  BOOST_LEAF_CHECK(RemoveFilesExcept(folder, kDiscardMark));
+  return RemoveFiles(folder);
+}
+
 Result<std::string> ReadIfPresent(const std::string& path) {
   storage::PosixFiles files;
   std::string content;
