--- /dev/null
+++ b/test/soak/soak_test.cc
@@ -0,0 +1,64 @@
+#include <Poco/TemporaryFile.h>
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "soak/soak_run.h"
+
+namespace masticrill::soak {
+namespace {
+
+/// Runs a seed and prints what a failed check needs to be traced. MASTICRILL_SOAK_KEEP names a
+/// folder that keeps the logs of failed seeds.
+void CheckSeed(std::uint64_t seed) {
+  Poco::TemporaryFile folder;
+  folder.createDirectories();
+  const SoakReport report = RunSoak(seed, folder.path());
+  std::cout << "seed " << seed << (report.failures.empty() ? " passed" : " FAILED") << std::endl;
+  if (report.failures.empty()) {
+    return;
+  }
+  if (const char* const keep = std::getenv("MASTICRILL_SOAK_KEEP")) {
+    const std::filesystem::path kept = std::filesystem::path(keep) / std::to_string(seed);
+    std::filesystem::create_directories(kept);
+    std::filesystem::copy(folder.path(), kept,
+                          std::filesystem::copy_options::recursive |
+                              std::filesystem::copy_options::overwrite_existing);
+    std::ofstream(kept / "timeline.txt") << report.timeline;
+  }
+  std::string failures;
+  for (const std::string& failure : report.failures) {
+    failures += failure + "\n";
+  }
+  FAIL_CHECK("seed " << seed << "\n" << failures << "time line:\n" << report.timeline);
+}
+
+/// The first and last seed of MASTICRILL_SOAK_SEEDS, "1-50" or "7".
+std::pair<std::uint64_t, std::uint64_t> SeedRange(const std::string& text) {
+  const std::size_t dash = text.find('-');
+  const std::uint64_t first = std::stoull(text.substr(0, dash));
+  return {first, dash == std::string::npos ? first : std::stoull(text.substr(dash + 1))};
+}
+
+TEST_CASE("seeds of the environment keep all rules under faults") {
+  if (const char* const seeds = std::getenv("MASTICRILL_SOAK_SEEDS")) {
+    const std::pair<std::uint64_t, std::uint64_t> range = SeedRange(seeds);
+    for (std::uint64_t seed = range.first; seed <= range.second; ++seed) {
+      CheckSeed(seed);
+    }
+  }
+}
+
+TEST_CASE("fixed seeds keep all rules under faults") {
+  if (std::getenv("MASTICRILL_SOAK_SEEDS") == nullptr) {
+    for (const std::uint64_t seed : {1, 2}) {
+      CheckSeed(seed);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace masticrill::soak
