--- a/test/soak/caller.h
+++ b/test/soak/caller.h
@@ -59,6 +59,7 @@
   struct Outcome {
     Attempt attempt;
     int status = 0;
+    bool complete = false;
     bool was_calm = false;
   };
 
--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -55,6 +55,7 @@
     CallerConnection& connection = connections.try_emplace(address, address).first->second;
     const Reply reply = connection.Ask(outcome.attempt, key);
     outcome.status = reply.status;
+    outcome.complete = reply.complete;
     outcome.was_calm = this->calm.Held(outcome.attempt.sent_at, kContact);
     this->Check(outcome, reply);
     const std::scoped_lock lock(this->mutex);
@@ -175,6 +176,10 @@
     this->timeline.Fail("UNASKED", Describe(attempt) + " ran changed, for team \"" + run.team +
                                        "\" at " + run.path);
   }
+  if (outcome.was_calm && !outcome.complete) {
+    this->timeline.Fail("LOST", Describe(attempt) + " ran and got no complete answer; status " +
+                                    std::to_string(outcome.status));
+  }
   if (outcome.was_calm && attempt.route_revision != 0 &&
       this->acknowledged.NewestAt(attempt.sent_at - kConfigApply) >=
           attempt.route_revision + kRoutesKept) {
--- a/test/soak/fault_plan.cc
+++ b/test/soak/fault_plan.cc
@@ -13,37 +13,51 @@
 }  // namespace
 
 void FaultPlan::Run(Duration span) {
-  const TimePoint end = this->timeline.Now() + span;
-  TimePoint next = this->timeline.Now();
-  while (this->timeline.Now() < end || !this->actions.empty()) {
-    if (this->timeline.Now() >= next && this->timeline.Now() < end) {
-      this->Draw();
-      next = this->timeline.Now() + this->Between(100, 1500);
-    }
+  this->now = this->timeline.Now();
+  this->ScheduleDraw(this->now + span);
+  while (!this->actions.empty()) {
     this->Step();
   }
 }
 
+void FaultPlan::ScheduleDraw(TimePoint end) {
+  const Duration pause = this->Between(100, 1500);
+  if (this->now + pause < end) {
+    this->Later(pause, [this, end] {
+      this->Draw();
+      this->ScheduleDraw(end);
+    });
+  }
+}
+
 void FaultPlan::RunCalm(TimePoint until) {
   while (this->timeline.Now() < until) {
     this->Step();
   }
 }
 
+/// The times of the plan count, not those at which a busy machine gets to it: so a seed always has
+/// the same faults.
 void FaultPlan::Step() {
   while (!this->actions.empty() && this->actions.begin()->first <= this->timeline.Now()) {
+    this->now = this->actions.begin()->first;
     const Action action = std::move(this->actions.begin()->second);
     this->actions.erase(this->actions.begin());
+    this->calm.Disturb(this->timeline.Now());
     action();
+    this->calm.Disturb(this->timeline.Now());
   }
   this->fleet.Supervise();
   std::this_thread::sleep_for(kStep);
 }
 
 void FaultPlan::Later(Duration after, Action action) {
-  const TimePoint at = this->timeline.Now() + after;
-  this->calm.Disturb(at);
-  this->actions.emplace(at, std::move(action));
+  this->calm.Disturb(this->now + after);
+  this->actions.emplace(this->now + after, std::move(action));
+}
+
+void FaultPlan::StartLater(Host& host, Role& role, Duration after) {
+  this->Later(after, [this, &host, &role] { this->fleet.Start(host, role); });
 }
 
 Duration FaultPlan::Between(int least_ms, int most_ms) {
@@ -59,7 +73,7 @@
 void FaultPlan::Lose(const Host& host, Duration span) {
   this->Disturb(host, span);
   if (host.has_disk) {
-    this->lost_until = std::max(this->lost_until, this->timeline.Now() + span + kCatchUp);
+    this->lost_until = std::max(this->lost_until, this->now + span + kCatchUp);
   }
 }
 
@@ -71,7 +85,7 @@
 void FaultPlan::Draw() {
   constexpr int kKinds = 12;
   const auto kind = this->random.Below(kKinds);
-  if (kind < 8 && this->timeline.Now() >= this->lost_until) {
+  if (kind < 8 && this->now >= this->lost_until) {
     this->DrawDiskFault();
   } else if (kind == 0) {
     this->DrawSeeds();
@@ -101,7 +115,7 @@
       const Duration span = this->Between(200, 1500);
       this->fleet.Kill(*host, host->control);
       this->fleet.Wipe(*host);
-      this->fleet.Start(*host, host->control, span);
+      this->StartLater(*host, host->control, span);
       this->Lose(*host, span);
       break;
     }
@@ -119,7 +133,7 @@
   switch (this->random.Below(3)) {
     case 0:
       this->fleet.Kill(host, role);
-      this->fleet.Start(host, role, span);
+      this->StartLater(host, role, span);
       break;
     case 1:
       this->fleet.Freeze(host, role);
@@ -141,8 +155,8 @@
   const Duration span = this->Between(100, 2000);
   this->fleet.Remove(host);
   Host& successor = this->fleet.AddHost(host.has_disk);
-  this->fleet.Start(successor, successor.control, span);
-  this->fleet.Start(successor, successor.entry, span);
+  this->StartLater(successor, successor.control, span);
+  this->StartLater(successor, successor.entry, span);
   this->Lose(successor, span);
   this->DrawSeeds();
 }
@@ -167,19 +181,19 @@
   this->timeline.Add("all control hosts end");
   const bool with_entries = this->random.Below(2) == 0;
   for (Host* host : this->fleet.Hosts()) {
-    if (this->IsAway(*host)) {
+    if (!host->control.wanted || !host->entry.wanted) {
       continue;
     }
     this->fleet.Kill(*host, host->control);
-    this->fleet.Start(*host, host->control, this->Between(100, 900));
+    this->StartLater(*host, host->control, this->Between(100, 900));
     if (with_entries) {
       this->fleet.Kill(*host, host->entry);
-      this->fleet.Start(*host, host->entry, this->Between(100, 900));
+      this->StartLater(*host, host->entry, this->Between(100, 900));
     }
   }
-  const TimePoint back = this->timeline.Now() + kGroupRestart;
+  const TimePoint back = this->now + kGroupRestart;
   this->calm.Disturb(back);
-  if (this->timeline.Now() < this->lost_until) {
+  if (this->now < this->lost_until) {
     this->lost_until = std::max(this->lost_until, back) + kRecovery;
   }
 }
--- a/test/soak/fault_plan.h
+++ b/test/soak/fault_plan.h
@@ -38,7 +38,9 @@
   void DrawLinkFault();
   void Replace(Host& host);
   void BlockDisk(Host& host);
+  void ScheduleDraw(TimePoint end);
   void Later(Duration after, Action action);
+  void StartLater(Host& host, Role& role, Duration after);
   void Step();
   /// The host is lost until `span` from now, and then has to catch up.
   void Lose(const Host& host, Duration span);
@@ -53,6 +55,7 @@
   Upstreams& upstreams;
   Calm& calm;
   Timeline& timeline;
+  TimePoint now = {};
   std::multimap<TimePoint, Action> actions;
   std::multiset<std::size_t> away;
   TimePoint lost_until = {};
--- a/test/soak/fleet.cc
+++ b/test/soak/fleet.cc
@@ -120,6 +120,9 @@
 }
 
 void Fleet::Start(Host& host, Role& role, Duration after) {
+  if (host.removed) {
+    return;
+  }
   role.wanted = true;
   role.start_at = this->timeline.Now() + after;
   if (after <= Duration(0)) {
--- a/test/soak/operator.cc
+++ b/test/soak/operator.cc
@@ -10,14 +10,12 @@
 
 using Json = nlohmann::json;
 
-/// How long an operator waits for an acknowledgement.
-constexpr milliseconds kAcknowledgeTimeout{4000};
 constexpr milliseconds kRetryPause{50};
 constexpr std::uint64_t kLongestPauseMs = 2500;
 constexpr int kOk = 200;
 
 net::HttpAnswer Call(const HostAddresses& host, const net::HttpCall& call) {
-  net::HttpClient client(host.operators, {.read_timeout = kAcknowledgeTimeout});
+  net::HttpClient client(host.operators, {.read_timeout = kAcknowledge});
   return HandleErrors([&] { return client.Call(call); },
                       [](const Error&) {
                         return net::HttpAnswer{0, {}, {}};
@@ -68,7 +66,7 @@
 void Operator::Run(Random random) {
   while (!this->stopping) {
     const TimePoint now = this->timeline.Now();
-    this->Change(now + kAcknowledgeTimeout, random);
+    this->Change(now + kAcknowledge, random);
     const auto pause = milliseconds(random.Below(kLongestPauseMs));
     while (!this->stopping && this->timeline.Now() < now + pause) {
       const std::vector<HostAddresses> hosts = this->fleet.Addresses();
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -14,6 +14,8 @@
 /// All processes are back this long after the closing fault, at most.
 constexpr int kClosingRestartMs = 800;
 
+std::string Name(const HostAddresses& host) { return "host " + std::to_string(host.number); }
+
 class SoakRun {
  public:
   SoakRun(std::uint64_t seed, const std::string& folder)
@@ -31,12 +33,14 @@
                       this->timeline);
       this->operators.Begin(this->seed);
       this->plan.Run(kFaultSpan);
+      this->StopAnEntry();
       this->plan.RunCalm(std::max(this->plan.LostUntil(), this->timeline.Now() + kCatchUp));
       this->operators.Stop();
-      this->CheckGroup("after the faults");
+      this->CheckGroup(this->timeline.Now() + kRecovery, "after the faults");
       this->CloseWithFault();
-      this->CheckGroup("after the closing fault");
-      this->CheckEntries();
+      const TimePoint deadline = this->timeline.Now() + kRecovery;
+      this->CheckEntries(deadline);
+      this->CheckGroup(deadline, "after the closing fault");
       callers.Stop();
       callers.CheckRuns(this->upstreams.Runs());
       this->timeline.Add(std::to_string(callers.Served()) + " requests were served");
@@ -72,31 +76,40 @@
     return true;
   }
 
-  /// Each control host must read back the newest acknowledged configuration, and one must take a
-  /// change.
-  void CheckGroup(const std::string& when) {
-    const TimePoint deadline = this->timeline.Now() + kRecovery;
+  /// A planned stop, with nothing else disturbed: no request that runs may be lost.
+  void StopAnEntry() {
+    this->plan.RunCalm(this->timeline.Now() + kContact + milliseconds(200));
+    const std::vector<Host*> hosts = this->fleet.Hosts();
+    Host& host = *hosts.at(this->random.Below(hosts.size()));
+    this->fleet.Stop(host, host.entry);
+  }
+
+  /// By the deadline each control host must read back the newest acknowledged configuration, and a
+  /// change must be possible.
+  void CheckGroup(TimePoint deadline, const std::string& when) {
     const std::uint64_t newest = this->acknowledged.NewestAt(this->timeline.Now());
-    bool read_anywhere = false;
-    std::string silent;
-    for (const HostAddresses& host : this->fleet.Addresses()) {
-      std::optional<std::uint64_t> revision;
-      this->Await(deadline, [&] { return (revision = this->operators.Read(host)).has_value(); });
-      if (!revision) {
-        silent += " " + std::to_string(host.number);
-      } else if (*revision < newest) {
-        this->timeline.Fail("LOST", "host " + std::to_string(host.number) + " read back revision " +
-                                        std::to_string(*revision) + ", " + std::to_string(newest) +
-                                        " was acknowledged, " + when);
-      }
-      read_anywhere = read_anywhere || revision;
-    }
-    if (!read_anywhere) {
+    std::vector<HostAddresses> silent = this->fleet.Addresses();
+    const std::size_t hosts = silent.size();
+    this->Await(deadline, [&] {
+      std::erase_if(silent, [&](const HostAddresses& host) {
+        const std::optional<std::uint64_t> revision = this->operators.Read(host);
+        if (revision.value_or(newest) < newest) {
+          this->timeline.Fail("LOST", Name(host) + " read back revision " +
+                                          std::to_string(*revision) + ", " +
+                                          std::to_string(newest) + " was acknowledged, " + when);
+        }
+        return revision.has_value();
+      });
+      return silent.empty();
+    });
+    if (silent.size() == hosts) {
       this->timeline.Fail("CONFIG", "no host reads back a configuration " + when);
-    } else if (!silent.empty()) {
-      this->timeline.Fail("JOIN", "no part of the group " + when + ":" + silent);
+    } else {
+      for (const HostAddresses& host : silent) {
+        this->timeline.Fail("JOIN", Name(host) + " is no part of the group " + when);
+      }
     }
-    if (!this->operators.Change(std::max(deadline, this->timeline.Now() + kRecovery),
+    if (!this->operators.Change(std::max(deadline, this->timeline.Now() + kAcknowledge),
                                 this->random)) {
       this->timeline.Fail("CONFIG", "no change is acknowledged " + when);
     }
@@ -117,6 +130,7 @@
     this->timeline.Add("closing fault: host " + std::to_string(lost->number) + " loses its disk, " +
                        (alone ? "alone" : "all processes end"));
     std::vector<Host*> hit = alone ? std::vector<Host*>{lost} : this->fleet.Hosts();
+    this->calm.Disturb(this->timeline.Now() + kRecovery);
     for (Host* host : hit) {
       this->fleet.Kill(*host, host->control);
       this->fleet.Kill(*host, host->entry);
@@ -131,16 +145,14 @@
       this->fleet.Start(*host, host->entry, after);
     }
     this->plan.RunCalm(this->timeline.Now() + milliseconds(kClosingRestartMs));
-    this->calm.Disturb(this->timeline.Now());
-    this->recovery_deadline = this->timeline.Now() + kRecovery;
   }
 
-  void CheckEntries() {
+  void CheckEntries(TimePoint deadline) {
     for (const HostAddresses& host : this->fleet.Addresses()) {
       CallerConnection connection(host.callers);
       int number = 0;
       int status = 0;
-      const bool serves = this->Await(this->recovery_deadline, [&] {
+      const bool serves = this->Await(deadline, [&] {
         Attempt attempt;
         attempt.id = kProbePrefix + std::to_string(host.number) + "-" + std::to_string(++number);
         attempt.path = "/safe/" + attempt.id;
@@ -148,7 +160,7 @@
         return status == 200;
       });
       if (!serves) {
-        this->timeline.Fail("RECOVER", "the entry of host " + std::to_string(host.number) +
+        this->timeline.Fail("RECOVER", "the entry of " + Name(host) +
                                            " serves nothing; last status " +
                                            std::to_string(status));
       }
@@ -164,7 +176,6 @@
   FaultPlan plan;
   Operator operators;
   std::uint64_t seed;
-  TimePoint recovery_deadline = {};
 };
 
 }  // namespace
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "masticrill/common/log.h"
 #include "soak/soak_run.h"
 
 namespace masticrill::soak {
@@ -14,6 +15,7 @@
 /// Runs a seed and prints what a failed check needs to be traced. MASTICRILL_SOAK_KEEP names a
 /// folder that keeps the logs of failed seeds.
 void CheckSeed(std::uint64_t seed) {
+  ConfigureLog({.level = LogLevel::kError});
   Poco::TemporaryFile folder;
   folder.createDirectories();
   const SoakReport report = RunSoak(seed, folder.path());
--- a/test/soak/timeline.h
+++ b/test/soak/timeline.h
@@ -14,6 +14,7 @@
 inline constexpr milliseconds kContact{3000};
 inline constexpr milliseconds kConfigApply{2000};
 inline constexpr milliseconds kRevoke{5000};
+inline constexpr milliseconds kAcknowledge{4000};
 inline constexpr seconds kRecovery{12};
 inline constexpr seconds kCatchUp{4};
 inline constexpr seconds kStopGrace{8};
