--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -52,7 +52,7 @@
   this->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   sockaddr_in own = ToSocketAddress("127.0.0.1:0");
   socklen_t size = sizeof(own);
-  bind(this->listener, reinterpret_cast<sockaddr*>(&own), size);
+  (void)bind(this->listener, reinterpret_cast<sockaddr*>(&own), size);
   listen(this->listener, SOMAXCONN);
   getsockname(this->listener, reinterpret_cast<sockaddr*>(&own), &size);
   this->address = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
@@ -120,7 +120,7 @@
   }
   const int callee = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   const sockaddr_in to = ToSocketAddress(this->target);
-  connect(callee, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+  (void)connect(callee, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
   this->connections.push_back({{caller, callee, true}, {callee, caller, false}});
 }
 
--- a/test/soak/fleet.cc
+++ b/test/soak/fleet.cc
@@ -1,5 +1,6 @@
 #include "soak/fleet.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <filesystem>
@@ -16,6 +17,8 @@
 constexpr int kInternalPort = 21004;
 constexpr Duration kRestartDelay = milliseconds(200);
 constexpr std::size_t kSeedCount = 3;
+constexpr std::array kCrashCodes = {128 + SIGABRT, 128 + SIGSEGV, 128 + SIGBUS, 128 + SIGILL,
+                                    128 + SIGFPE};
 constexpr std::array kBlockedFiles = {"vote.tmp", "snapshot.tmp"};
 
 /// A network of the loopback range for the hosts of one run of one process.
@@ -243,6 +246,9 @@
     }
     this->timeline.Add(role.name + " on host " + std::to_string(host.number) + " ended with " +
                        std::to_string(*code) + (role.stopping ? "" : " by itself"));
+    if (std::find(kCrashCodes.begin(), kCrashCodes.end(), *code) != kCrashCodes.end()) {
+      this->timeline.Fail("CRASH", role.name + " on host " + std::to_string(host.number));
+    }
     role.program.reset();
     role.start_at = now + kRestartDelay;
   }
