--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -39,8 +39,9 @@
       this->CheckGroup(this->timeline.Now() + kRecovery, "after the faults");
       this->CloseWithFault();
       const TimePoint deadline = this->timeline.Now() + kRecovery;
-      this->CheckEntries(deadline);
       this->CheckGroup(deadline, "after the closing fault");
+      // Last, as entries go on serving with their leases for a while.
+      this->CheckEntries(deadline);
       callers.Stop();
       callers.CheckRuns(this->upstreams.Runs());
       this->timeline.Add(std::to_string(callers.Served()) + " requests were served");
