Let a replica without a vote forget a leader that it no longer hears

Callers would see: a running observer or learner that was cut off for over a minute, and removed meanwhile, serves nobody for ever: it still names the former leader, so it never asks whether it is a member, and operators wait for time-outs.

Cause: only an election makes a replica forget its leader, and a replica without a vote starts none.

Change: the status of such a replica names no leader once it has heard none for two election timeouts.

--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -212,7 +212,11 @@
   status.id = this->id;
   status.role = this->role;
   status.term = this->hard_state.term;
-  status.leader = this->leader;
+  // A replica without a vote starts no election, in which it would forget a leader that is gone.
+  const bool leader_is_gone =
+      !this->CurrentMembership().IsVoter(this->id) &&
+      this->now - this->heard_leader_at > 2 * this->options.election_timeout;
+  status.leader = leader_is_gone ? ReplicaId() : this->leader;
   status.commit = this->commit;
   status.last_index = this->log.LastIndex();
   status.snapshot_index = this->snapshot ? this->snapshot->index : 0;
--- a/test/consensus/replica_test.cc
+++ b/test/consensus/replica_test.cc
@@ -251,6 +251,22 @@
   CHECK(elected.Commits());
 }
 
+// Failure: a learner that the leader removed while it was cut off takes it for its leader for ever,
+// and never asks to join again.
+TEST_CASE("a learner that hears nothing knows no leader") {
+  Elected elected(3, 1);
+  Group::Host& learner = elected.group.hosts[3];
+  CHECK_FALSE(elected.Change(MembershipChangeKind::kAddLearner, learner.Id()));
+  elected.group.RunSoundly(milliseconds(200));
+  CHECK(learner.replica->Status().leader == elected.leader->Id());
+  elected.CutOff(learner.node);
+  elected.group.RunSoundly(4 * kElectionTimeout);
+  CHECK(learner.replica->Status().leader.Empty());
+  elected.group.blocked.clear();
+  elected.group.RunSoundly(milliseconds(200));
+  CHECK(learner.replica->Status().leader == elected.leader->Id());
+}
+
 // Failure: a voter that is away counts for the quorum of four, so that the loss of one more host
 // stops the group; removed instead, it could not return with its data folder.
 TEST_CASE("a demoted voter does not count for a quorum and is promoted again with its log") {
