Start a stopped replica anew only after a full disk

Cause: after a failed sync the kernel may count pages as clean that never reached the disk. A restart reads them from the cache and would confirm entries that a loss of power then drops.

Change: NeedsRestart holds only for a storage error of the kind kStorageFull; the test now fills the disk by /dev/full.

--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -274,7 +274,9 @@
 bool ControlServer::IsRetired() const { return this->state->joiner->IsRetired(); }
 
 bool ControlServer::NeedsRestart() const {
-  return this->state->replica->Status().stopped && TakesWrites(this->state->options.data_folder);
+  const std::optional<Error> stopped = this->state->replica->Status().stopped;
+  return stopped && stopped->kind == ErrorKind::kStorageFull &&
+         TakesWrites(this->state->options.data_folder);
 }
 
 Result<void> ControlServer::DiscardData() {
--- a/test/control/replicated_test.cc
+++ b/test/control/replicated_test.cc
@@ -272,13 +272,12 @@
   cluster.StartAll();
   const std::size_t leader = cluster.WaitForLeader();
   const std::size_t refused = cluster.Follower();
-  const std::size_t other = cluster.Size() - leader - refused;
-  // Folders in the place of temporary files: neither a snapshot nor the check can be written.
-  const std::vector<std::string> obstacles = {cluster.FolderOf(refused) + "/replica/snapshot.tmp",
-                                              cluster.FolderOf(refused) + "/write_check.new"};
-  for (const std::string& obstacle : obstacles) {
-    std::filesystem::create_directory(obstacle);
-  }
+  const std::size_t other = 3 - leader - refused;
+  const std::string snapshot = cluster.FolderOf(refused) + "/replica/snapshot.tmp";
+  std::filesystem::create_symlink("/dev/full", snapshot);
+  // A folder in the place of the file that is written to check the disk.
+  const std::string obstacle = cluster.FolderOf(refused) + "/write_check.new";
+  std::filesystem::create_directory(obstacle);
   std::uint64_t number = 1;
   REQUIRE(WaitUntil([&] {
     const std::string team = "t-" + std::to_string(number);
@@ -286,9 +285,8 @@
     return cluster.Call(refused, GetCall("/healthz")).status == 503;
   }));
   CHECK_FALSE(cluster.At(refused).NeedsRestart());
-  for (const std::string& obstacle : obstacles) {
-    std::filesystem::remove(obstacle);
-  }
+  std::filesystem::remove(snapshot);
+  std::filesystem::remove(obstacle);
   REQUIRE(cluster.At(refused).NeedsRestart());
   cluster.Crash(refused);
   cluster.Start(refused);
