Keep forwarded join requests off the shared connection to the leader

Callers would see: orders through a follower time out while a host that the leader cannot reach keeps asking to join.

Cause: the leader answers the requests of one connection in turn, and a join takes up to 7.5 s where the joining host is slow or out of reach. The forwarding host used its only connection to the leader.

Change: a forwarded change has a connection of its own and at most 1.5 s, less than the joining host waits. The joining host also asks the members in its own log, whose names may be addresses when the seeds are out of date, and stops between two requests. No test of its own; the join tests pass.

--- a/src/control/group_joiner.cc
+++ b/src/control/group_joiner.cc
@@ -33,8 +33,9 @@
   if (is_member && !this->IsLeaderless(status)) {
     return kMemberCheckInterval;
   }
-  for (const PeerAddress& peer : this->addresses.All()) {
-    if (this->RequestJoin(peer)) {
+  const std::set<NodeId> hosts = this->KnownHosts(status);
+  for (const NodeId& host : hosts) {
+    if (this->stopping || this->RequestJoin(host)) {
       return kMemberCheckInterval;
     }
   }
@@ -44,7 +45,7 @@
     kLog.Warning("No control host accepted the join request of this replica; asking again.",
                  {{"node", status.id.node},
                   {"identity", status.id.identity},
-                  {"asked", this->addresses.All().size()},
+                  {"asked", hosts.size()},
                   {"causes", *causes}});
   }
   return is_member ? kMemberCheckInterval : kRetryInterval;
@@ -59,8 +60,25 @@
   return now - this->led_at > kMaxLeaderless;
 }
 
-bool GroupJoiner::RequestJoin(const PeerAddress& peer) {
-  const std::shared_ptr<net::RpcClient> client = this->addresses.Client(peer.node);
+/// The other control hosts by name: those with a known address, and the members of the own log, of
+/// which some are named by their addresses.
+std::set<NodeId> GroupJoiner::KnownHosts(const consensus::ReplicaStatus& status) const {
+  std::set<NodeId> hosts;
+  for (const PeerAddress& peer : this->addresses.All()) {
+    hosts.insert(peer.node);
+  }
+  for (const auto* members : {&status.membership.voters, &status.membership.learners}) {
+    for (const consensus::ReplicaId& member : *members) {
+      if (this->addresses.Find(member.node)) {
+        hosts.insert(member.node);
+      }
+    }
+  }
+  return hosts;
+}
+
+bool GroupJoiner::RequestJoin(const NodeId& host) {
+  const std::shared_ptr<net::RpcClient> client = this->addresses.Client(host);
   return HandleErrors(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(reply, client->Call<net::MemberReply>(
@@ -68,7 +86,7 @@
                                                       this->options.rpc_address},
                                    kCallTimeout));
         kLog.Info("The leader accepted the join request of this replica.",
-                  {{"asked", peer.node}, {"answer", reply.message}});
+                  {{"asked", host}, {"answer", reply.message}});
         this->report.Accept();
         return true;
       },
@@ -76,7 +94,7 @@
         if (error.kind == ErrorKind::kRetired) {
           this->retired = true;
         }
-        this->report.Refuse(peer.node, error);
+        this->report.Refuse(host, error);
         return false;
       });
 }
--- a/src/control/group_joiner.h
+++ b/src/control/group_joiner.h
@@ -2,6 +2,7 @@
 #define MASTICRILL_CONTROL_GROUP_JOINER_H_
 
 #include <atomic>
+#include <set>
 
 #include "control/address_book.h"
 #include "control/group_formation.h"
@@ -20,7 +21,10 @@
   /// The arguments must outlive the joiner.
   GroupJoiner(const ControlOptions& options, ReplicaRunner& replica, AddressBook& addresses,
               const GroupFormation& formation);
-  void Stop() { this->thread.Stop(); }
+  void Stop() {
+    this->stopping = true;
+    this->thread.Stop();
+  }
   /// Whether the group has permanently removed the identity of this replica: the process must end,
   /// empty its data folder and restart.
   bool IsRetired() const { return this->retired; }
@@ -30,13 +34,15 @@
  private:
   Duration RunOnce();
   bool IsLeaderless(const consensus::ReplicaStatus& status);
-  bool RequestJoin(const PeerAddress& peer);
+  std::set<NodeId> KnownHosts(const consensus::ReplicaStatus& status) const;
+  bool RequestJoin(const NodeId& host);
 
   const ControlOptions& options;
   ReplicaRunner& replica;
   AddressBook& addresses;
   const GroupFormation& formation;
   std::atomic<bool> retired = false;
+  std::atomic<bool> stopping = false;
   SystemClock clock;
   /// When a leader was last known; the start of the thread before that.
   TimePoint led_at = this->clock.Now();
--- a/src/control/member_service.cc
+++ b/src/control/member_service.cc
@@ -53,17 +53,23 @@
 }  // namespace
 
 Result<std::string> MemberService::Change(const net::MemberRequest& request) {
+  return this->Change(request, 2 * this->timings.propose_timeout);
+}
+
+Result<std::string> MemberService::Change(const net::MemberRequest& request, Duration timeout) {
   const consensus::ReplicaStatus status = this->replica.Status().replica;
   if (status.role == consensus::Role::kLeader) {
     return this->ChangeAsLeader(request);
   }
-  const std::shared_ptr<net::RpcClient> client =
-      status.leader.Empty() ? nullptr : this->addresses.Client(status.leader.node);
-  if (client == nullptr) {
+  const std::optional<std::string> address =
+      status.leader.Empty() ? std::nullopt : this->addresses.Find(status.leader.node);
+  if (!address) {
     return Fail(ToError(consensus::RejectReason::kNoLeader));
   }
-  BOOST_LEAF_AUTO(reply,
-                  client->Call<net::MemberReply>(request, 2 * this->timings.propose_timeout));
+  // A connection of its own: the leader answers the requests of a connection in turn, and a change
+  // of members takes long where the joining host is slow.
+  net::RpcClient client(*address, this->addresses.Credentials(), {});
+  BOOST_LEAF_AUTO(reply, client.Call<net::MemberReply>(request, timeout));
   return reply.message;
 }
 
--- a/src/control/member_service.h
+++ b/src/control/member_service.h
@@ -20,6 +20,8 @@
 
   /// Makes the change, or forwards it to the leader. Returns a description of what was done.
   Result<std::string> Change(const net::MemberRequest& request);
+  /// The same; a leader that is asked must answer within the timeout.
+  Result<std::string> Change(const net::MemberRequest& request, Duration timeout);
   /// Makes the change; fails with kNotLeader when another replica leads.
   Result<std::string> ChangeAsLeader(const net::MemberRequest& request);
   /// As the leader, proposes to promote one learner that has caught up and may vote. Returns
--- a/src/control/rpc_service.cc
+++ b/src/control/rpc_service.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Logger kLog(LogPart::kControl);
+/// Shorter than the time for which a joining host waits for its answer.
+constexpr Duration kForwardTimeout = milliseconds(1500);
 
 net::ErrorReply ToReply(const Error& error) {
   return {std::string(ToString(error.kind)), error.message};
@@ -89,7 +91,7 @@
   // forwarded again, so that two hosts that each take the other for the leader end it.
   const bool may_forward =
       request.action == net::MemberAction::kJoin && channel->Peer().node == request.node;
-  BOOST_LEAF_AUTO(message, may_forward ? this->parts.members.Change(request)
+  BOOST_LEAF_AUTO(message, may_forward ? this->parts.members.Change(request, kForwardTimeout)
                                        : this->parts.members.ChangeAsLeader(request));
   channel->Send(frame.correlation, net::MemberReply{message});
   return {};
