Demote a lost voter before its successor votes

Cause: promoted beside a voter that is gone, a successor raises the majority from two to three: were it lost before the demotion, the two remaining voters would lose the majority that they had.

--- a/src/control/member_service.cc
+++ b/src/control/member_service.cc
@@ -188,63 +188,89 @@
   return found;
 }
 
+std::optional<consensus::ReplicaId> FindUnresponsiveVoter(const consensus::ReplicaStatus& status,
+                                                          Duration timeout, TimePoint now) {
+  return FindUnresponsive(status, timeout, now, [&](const consensus::ReplicaId& replica) {
+    return status.membership.IsVoter(replica);
+  });
+}
+
+bool IsEven(const consensus::Membership& membership) { return membership.voters.size() % 2 == 0; }
+
 /// The voter that the group is better off without; nullopt when there is none.
 std::optional<consensus::ReplicaId> FindVoterToDemote(const consensus::ReplicaStatus& status,
+                                                      bool has_successor,
                                                       const ControlTimings& timings,
                                                       TimePoint now) {
-  // What is left must still tolerate the loss of another voter.
+  // Without a successor, what is left must still tolerate the loss of another voter.
   constexpr std::size_t kMinVotersLeft = 3;
-  const std::size_t count = status.membership.voters.size();
-  if (count <= kMinVotersLeft) {
+  constexpr std::size_t kMinVotersLeftWithSuccessor = 2;
+  const std::size_t min_left = has_successor ? kMinVotersLeftWithSuccessor : kMinVotersLeft;
+  if (status.membership.voters.size() <= min_left) {
     return std::nullopt;
   }
   // An even group tolerates no more losses than the group without the unresponsive voter.
-  const bool is_even = count % 2 == 0;
-  return FindUnresponsive(
-      status, is_even ? timings.demote_surplus_voter_after : timings.demote_voter_after, now,
-      [&](const consensus::ReplicaId& replica) { return status.membership.IsVoter(replica); });
+  const bool soon = has_successor || IsEven(status.membership);
+  return FindUnresponsiveVoter(
+      status, soon ? timings.demote_surplus_voter_after : timings.demote_voter_after, now);
 }
 
 }  // namespace
 
-void MemberService::RetireUnresponsiveMember() {
+std::optional<consensus::ReplicaId> MemberService::FindSuccessor(
+    const consensus::ReplicaStatus& status) {
+  for (const consensus::PeerStatus& peer : status.peers) {
+    if (peer.caught_up && status.membership.IsLearner(peer.replica) &&
+        this->MayVote(peer.replica)) {
+      return peer.replica;
+    }
+  }
+  return std::nullopt;
+}
+
+bool MemberService::RetireUnresponsiveMember() {
   const consensus::ReplicaStatus status = this->replica.Status().replica;
   const TimePoint now = SystemClock().Now();
-  if (const auto voter = FindVoterToDemote(status, this->timings, now)) {
+  const bool has_successor = this->FindSuccessor(status).has_value();
+  if (const auto voter = FindVoterToDemote(status, has_successor, this->timings, now)) {
     kLog.Info("Demoting a voter that the leader has not heard from within the limit.",
-              {{"node", voter->node}, {"voters", status.membership.voters.size()}});
+              {{"node", voter->node},
+               {"voters", status.membership.voters.size()},
+               {"has_successor", has_successor}});
     this->replica.ProposeMembership({consensus::MembershipChangeKind::kDemote, *voter},
                                     [](const consensus::ProposalResult&) {});
-    return;
+    return true;
   }
   // An observer restarts under a new identity; its former identity is still listed as a learner.
   const auto learner = FindUnresponsive(
       status, this->timings.remove_learner_after, now,
       [&](const consensus::ReplicaId& replica) { return status.membership.IsLearner(replica); });
-  if (learner) {
-    kLog.Info("Removing a learner that the leader has not heard from within the limit.",
-              {{"node", learner->node}});
-    this->replica.ProposeMembership({consensus::MembershipChangeKind::kRemove, *learner},
-                                    [](const consensus::ProposalResult&) {});
+  if (!learner) {
+    return false;
   }
+  kLog.Info("Removing a learner that the leader has not heard from within the limit.",
+            {{"node", learner->node}});
+  this->replica.ProposeMembership({consensus::MembershipChangeKind::kRemove, *learner},
+                                  [](const consensus::ProposalResult&) {});
+  return true;
 }
 
-bool MemberService::PromoteLearner() {
+void MemberService::PromoteLearner(bool waits_for_voters) {
   const consensus::ReplicaStatus status = this->replica.Status().replica;
   if (status.membership.voters.size() >= consensus::kMaxVoters) {
-    return false;
+    return;
   }
-  for (const consensus::PeerStatus& peer : status.peers) {
-    if (!peer.caught_up || !status.membership.IsLearner(peer.replica) ||
-        !this->MayVote(peer.replica)) {
-      continue;
-    }
-    kLog.Info("Promoting a learner that has caught up to a voter.", {{"node", peer.replica.node}});
-    this->replica.ProposeMembership({consensus::MembershipChangeKind::kPromote, peer.replica},
+  // Beside a silent voter, one more voter would raise the majority that the others have to reach.
+  const bool raises_quorum = !IsEven(status.membership);
+  if (waits_for_voters && raises_quorum &&
+      FindUnresponsiveVoter(status, this->timings.election_timeout, SystemClock().Now())) {
+    return;
+  }
+  if (const auto learner = this->FindSuccessor(status)) {
+    kLog.Info("Promoting a learner that has caught up to a voter.", {{"node", learner->node}});
+    this->replica.ProposeMembership({consensus::MembershipChangeKind::kPromote, *learner},
                                     [](const consensus::ProposalResult&) {});
-    return true;
   }
-  return false;
 }
 
 }  // namespace masticrill::control
--- a/src/control/member_service.h
+++ b/src/control/member_service.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "control/address_book.h"
@@ -24,15 +25,17 @@
   Result<std::string> Change(const net::MemberRequest& request, Duration timeout);
   /// Makes the change; fails with kNotLeader when another replica leads.
   Result<std::string> ChangeAsLeader(const net::MemberRequest& request);
-  /// As the leader, proposes to promote one learner that has caught up and may vote. Returns
-  /// whether it did.
-  bool PromoteLearner();
+  /// As the leader, proposes to promote one learner that has caught up and may vote. With
+  /// `waits_for_voters`, not while an odd group has a voter that does not answer.
+  void PromoteLearner(bool waits_for_voters);
   /// As the leader, proposes to demote a voter or to remove a learner that it has not heard from
-  /// for longer than the limit in ControlTimings.
-  void RetireUnresponsiveMember();
+  /// for longer than the limit in ControlTimings. Returns whether it did.
+  bool RetireUnresponsiveMember();
 
  private:
   Result<std::string> Add(const net::MemberRequest& request);
+  /// A learner that has caught up and may vote; nullopt when there is none.
+  std::optional<consensus::ReplicaId> FindSuccessor(const consensus::ReplicaStatus& status);
   Result<std::string> Remove(const net::MemberRequest& request);
   Result<void> Propose(const consensus::MembershipChange& change);
   /// Whether a learner may become a voter, which an observer may not; false while the learner does
--- a/src/control/upkeep.cc
+++ b/src/control/upkeep.cc
@@ -41,8 +41,9 @@
   if (this->BootstrapPending()) {
     this->ProposeBootstrapDocument();
   }
-  if (!this->members.PromoteLearner() && this->options.auto_join) {
-    this->members.RetireUnresponsiveMember();
+  // Without auto_join, operators replace unresponsive voters.
+  if (!this->options.auto_join || !this->members.RetireUnresponsiveMember()) {
+    this->members.PromoteLearner(/*waits_for_voters=*/this->options.auto_join);
   }
   const std::vector<net::NodeReport> reports = this->fleet.CollectReports();
   this->PublishFleet(reports);
