Compare first tokens by kind and size of request, and as soon as they come

Cause: an answer counted as slow from 1.4 s on, while the usual first token comes after 40 to 120 ms, so that one that took eight times as long was good. Besides, it was counted at the end of its answer: streams last some seconds, those of the bad version longest, so the evidence missed exactly these.

Change: first tokens are counted when they come, in histograms by route and size class, and late is what lies beyond the baseline's 90th percentile and 1.5 times its median for the same class; the e-value stays as it was. The number of classes in a report is bounded.

--- a/include/masticrill/routing/evidence_table.h
+++ b/include/masticrill/routing/evidence_table.h
@@ -17,6 +17,8 @@
   explicit EvidenceTable(EvidenceSettings settings = {});
 
   void Add(const ModelVersion& version, const FailureDomainId& domain, const AttemptResult& result);
+  void AddFirstToken(const ModelVersion& version, const FailureDomainId& domain,
+                     const RequestGroup& group, Duration latency);
   void AddRating(const ModelVersion& version, const FailureDomainId& domain, double score);
   VersionEvidence Read(const ModelVersion& version) const;
   /// The merged evidence on all other versions of the model.
--- a/include/masticrill/routing/rollout_evaluation.h
+++ b/include/masticrill/routing/rollout_evaluation.h
@@ -2,6 +2,7 @@
 #define MASTICRILL_ROUTING_ROLLOUT_EVALUATION_H_
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -52,6 +53,45 @@
   }
 };
 
+/// Requests whose latencies are comparable: those of one kind that cause a similar amount of work.
+struct RequestGroup {
+  std::string kind;
+  /// The order of magnitude of the work, see GroupOf.
+  std::uint32_t size_class = 0;
+
+  friend auto operator<=>(const RequestGroup&,
+                          const RequestGroup&) = default;  // NOLINT(modernize-use-nullptr)
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->kind, this->size_class);
+  }
+};
+
+/// The group of a request. Each size class spans a factor of four.
+RequestGroup GroupOf(std::string kind, double work);
+
+/// Counts latencies in steps of about a fifth.
+struct LatencyHistogram {
+  /// The number of latencies in each step that has any.
+  std::map<std::uint32_t, std::uint64_t> counts;
+
+  void Add(Duration latency);
+  void Merge(const LatencyHistogram& other);
+  std::uint64_t Total() const;
+  /// The step that contains the quantile; 0 without any latency.
+  std::uint32_t StepOfQuantile(double quantile) const;
+  /// The number of latencies in later steps.
+  std::uint64_t CountAbove(std::uint32_t step) const;
+
+  friend bool operator==(const LatencyHistogram&, const LatencyHistogram&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->counts);
+  }
+};
+
 struct EvidenceSettings {
   /// A first token later than this counts as slow.
   Duration slow_first_token = milliseconds(1400);
@@ -65,11 +105,17 @@
 /// entries.
 struct VersionEvidence {
   std::map<FailureDomainId, DomainEvidence> domains = {};
+  /// The times to first tokens, by groups of comparable requests.
+  std::map<RequestGroup, LatencyHistogram> first_tokens = {};
 
   /// Counts the result of an attempt. Refusals, cancellations and unreachable upstreams are not
   /// counted: they say nothing about the version.
   void Add(const FailureDomainId& domain, const AttemptResult& result,
            const EvidenceSettings& settings);
+  /// Counts the time to a first token as soon as it has come. Counting it at the end of the answer
+  /// would leave out the slowest answers for longest.
+  void AddFirstToken(const FailureDomainId& domain, const RequestGroup& group, Duration latency,
+                     const EvidenceSettings& settings);
   void AddRating(const FailureDomainId& domain, double score, const EvidenceSettings& settings);
   /// Adds the counts of another entry.
   void Merge(const VersionEvidence& other);
@@ -79,7 +125,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->domains);
+    archive(this->domains, this->first_tokens);
   }
 };
 
@@ -88,6 +134,15 @@
   double false_alarm_chance = 0.01;
   /// The tolerated difference of rates between candidate and baseline, for each kind of evidence.
   std::array<double, kEvidenceKindCount> tolerated_difference = {0.002, 0.01, 0.02};
+  /// A first token is late for its group if it comes after this quantile of the baseline's, and
+  /// after this multiple of the baseline's median.
+  double late_quantile = 0.9;
+  double late_factor = 1.5;
+  /// The tolerated difference of the rates of late first tokens: a new version starts without
+  /// cached prompts.
+  double tolerated_late_difference = 0.05;
+  /// Groups with fewer first tokens of the baseline are not compared.
+  std::uint64_t min_group_baseline = 10;
 
   friend bool operator==(const RolloutSettings&, const RolloutSettings&) = default;
 };
@@ -120,6 +175,16 @@
 double LogEvidenceOfRegression(const TrialCount& candidate, const TrialCount& baseline,
                                double tolerated_difference);
 
+/// The first tokens of two versions that came late for their groups.
+struct LateCounts {
+  TrialCount candidate;
+  TrialCount baseline;
+
+  friend bool operator==(const LateCounts&, const LateCounts&) = default;
+};
+LateCounts CountLate(const VersionEvidence& candidate, const VersionEvidence& baseline,
+                     const RolloutSettings& settings);
+
 /// Decides whether to stop a candidate, compared with the default version. A pure function.
 RolloutDecision EvaluateRollout(const VersionEvidence& candidate, const VersionEvidence& baseline,
                                 const RolloutSettings& settings);
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -381,7 +381,7 @@
       break;
   }
   this->may_have_run = true;
-  this->RecordVerdict(attempt, end, false);
+  this->RecordVerdict(attempt, false);
   return this->RetryOrRefuse(attempt, end, RefusalKind::kUpstreamFailed);
 }
 
@@ -418,24 +418,30 @@
 }
 
 /// Records the result of an attempt for the health of its upstream and the evidence on its version.
-void CallRunner::RecordVerdict(UpstreamAttempt& attempt, AttemptEnd end, bool good) {
+void CallRunner::RecordVerdict(UpstreamAttempt& attempt, bool good) {
   attempt.SetVerdict(good ? AttemptVerdict::kSuccess : AttemptVerdict::kFailure);
   const ListedUpstream& upstream = attempt.Upstream();
   routing::AttemptResult result;
   result.outcome = good ? routing::AttemptOutcome::kAnswered : routing::AttemptOutcome::kFailed;
-  if (end == AttemptEnd::kAnswered || end == AttemptEnd::kFinished) {
-    result.first_token = attempt.AnswerLatency();
-  }
   this->context.evidence.Add({ModelId(upstream.service.Value()), upstream.version},
                              upstream.failure_domain, result);
 }
 
+/// Records the time to the start of an answer as evidence on its version.
+void CallRunner::RecordFirstToken(const UpstreamAttempt& attempt) {
+  const ListedUpstream& upstream = attempt.Upstream();
+  const WorkEstimate work = this->EstimateWork();
+  this->context.evidence.AddFirstToken(
+      {ModelId(upstream.service.Value()), upstream.version}, upstream.failure_domain,
+      routing::GroupOf(this->route->id.Value(), work.shared + work.own), attempt.AnswerLatency());
+}
+
 CallRunner::NextStep CallRunner::OnAnswer(UpstreamAttempt& attempt) {
   const int status = attempt.Head().status;
   this->may_have_run = true;
   const bool failed = status >= kFirstServerError;
   if (failed) {
-    this->RecordVerdict(attempt, AttemptEnd::kAnswered, false);
+    this->RecordVerdict(attempt, false);
     // Where a second run is harmless, another upstream may succeed.
     if (this->route->Repeatable() && !this->caller.Begun()) {
       const routing::RetryDecision decision =
@@ -456,6 +462,7 @@
   if (IsSuccess(status)) {
     this->context.lateness.Add(this->service, attempt.AnswerLatency(), this->route->latency_target,
                                this->clock.Now());
+    this->RecordFirstToken(attempt);
   }
   if (IsSuccess(status) && !this->caller.Begun() && this->ShouldEscalate(attempt)) {
     attempt.SetVerdict(AttemptVerdict::kSuccess);
@@ -509,7 +516,7 @@
     return NextStep::kStop;
   }
   if (head.status < kFirstServerError) {
-    this->RecordVerdict(attempt, end, true);
+    this->RecordVerdict(attempt, true);
   }
   this->first_byte = this->clock.Now() - this->arrived_at;
   this->caller.SendWhole(head.status, net::WithoutConnectionFields(head.headers), answer,
@@ -543,7 +550,7 @@
       continue;
     }
     if (end == AttemptEnd::kFinished && this->events.Pending().empty() && this->caller.Begun()) {
-      this->RecordVerdict(attempt, end, true);
+      this->RecordVerdict(attempt, true);
       this->context.pace.Add(this->service, this->events.EventCount(),
                              this->clock.Now() - this->stream_begun_at);
       this->caller.End(this->deadline + kFinalAnswerGrace);
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -97,7 +97,8 @@
   routing::RetryDecision TakeRetry(routing::HandOverState hand_over, std::uint32_t attempts_made);
   /// Retries at another upstream if that is allowed, or ends the request.
   NextStep RetryOrRefuse(const UpstreamAttempt& attempt, AttemptEnd end, RefusalKind kind);
-  void RecordVerdict(UpstreamAttempt& attempt, AttemptEnd end, bool good);
+  void RecordVerdict(UpstreamAttempt& attempt, bool good);
+  void RecordFirstToken(const UpstreamAttempt& attempt);
   void Refuse(RefusalKind kind, std::string message,
               std::optional<milliseconds> retry_after = std::nullopt);
   std::string LastModel() const;
--- a/src/routing/evidence_table.cc
+++ b/src/routing/evidence_table.cc
@@ -10,6 +10,12 @@
   this->versions[version].Add(domain, result, this->settings);
 }
 
+void EvidenceTable::AddFirstToken(const ModelVersion& version, const FailureDomainId& domain,
+                                  const RequestGroup& group, Duration latency) {
+  const std::lock_guard lock(this->mutex);
+  this->versions[version].AddFirstToken(domain, group, latency, this->settings);
+}
+
 void EvidenceTable::AddRating(const ModelVersion& version, const FailureDomainId& domain,
                               double score) {
   const std::lock_guard lock(this->mutex);
--- a/src/routing/rollout_evaluation.cc
+++ b/src/routing/rollout_evaluation.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace masticrill::routing {
 namespace {
@@ -18,6 +19,10 @@
 constexpr Prior kCandidatePrior{0.5, 2};
 /// Rates are kept this far from 0 and 1 because their logarithms diverge there.
 constexpr double kMinRate = 1e-9;
+constexpr double kStepsPerDoubling = 4;
+constexpr double kSizeClassFactor = 4;
+/// Bounds the size of reports where callers make up kinds or sizes.
+constexpr std::size_t kMaxRequestGroups = 128;
 
 double LogBeta(double left, double right) {
   return std::lgamma(left) + std::lgamma(right) - std::lgamma(left + right);
@@ -63,29 +68,54 @@
   void Compare(const DomainEvidence& candidate, const DomainEvidence& baseline,
                const std::optional<FailureDomainId>& domain, double chance) {
     for (const EvidenceKind kind : kAllEvidenceKinds) {
-      const TrialCount candidate_count = CountOf(candidate, kind);
-      const TrialCount baseline_count = CountOf(baseline, kind);
-      const double tolerated_difference =
-          this->settings.tolerated_difference.at(static_cast<std::size_t>(kind));
-      const double evidence =
-          LogEvidenceOfRegression(candidate_count, baseline_count, tolerated_difference);
-      const double margin = evidence + std::log(chance / kEvidenceKindCount);
-      if (this->empty || margin > this->best_margin) {
-        this->empty = false;
-        this->best_margin = margin;
-        this->decision = {.stop = margin >= 0,
-                          .reason = margin >= 0 ? ReasonFor(kind) : RolloutReason::kContinue,
-                          .failure_domain = domain,
-                          .candidate = candidate_count,
-                          .baseline = baseline_count,
-                          .log_evidence = evidence};
-      }
+      // Half of the share of slow first tokens goes to CompareLate.
+      const bool is_split = kind == EvidenceKind::kSlowFirstToken && !domain;
+      this->Consider({.kind = kind,
+                      .candidate = CountOf(candidate, kind),
+                      .baseline = CountOf(baseline, kind),
+                      .tolerated_difference =
+                          this->settings.tolerated_difference.at(static_cast<std::size_t>(kind)),
+                      .chance = chance / kEvidenceKindCount / (is_split ? 2 : 1)},
+                     domain);
     }
   }
 
+  void CompareLate(const LateCounts& late, double chance) {
+    this->Consider({.kind = EvidenceKind::kSlowFirstToken,
+                    .candidate = late.candidate,
+                    .baseline = late.baseline,
+                    .tolerated_difference = this->settings.tolerated_late_difference,
+                    .chance = chance / kEvidenceKindCount / 2},
+                   std::nullopt);
+  }
+
   const RolloutDecision& Decision() const { return this->decision; }
 
  private:
+  struct Counts {
+    EvidenceKind kind;
+    TrialCount candidate;
+    TrialCount baseline;
+    double tolerated_difference;
+    double chance;
+  };
+
+  void Consider(const Counts& counts, const std::optional<FailureDomainId>& domain) {
+    const double evidence =
+        LogEvidenceOfRegression(counts.candidate, counts.baseline, counts.tolerated_difference);
+    const double margin = evidence + std::log(counts.chance);
+    if (this->empty || margin > this->best_margin) {
+      this->empty = false;
+      this->best_margin = margin;
+      this->decision = {.stop = margin >= 0,
+                        .reason = margin >= 0 ? ReasonFor(counts.kind) : RolloutReason::kContinue,
+                        .failure_domain = domain,
+                        .candidate = counts.candidate,
+                        .baseline = counts.baseline,
+                        .log_evidence = evidence};
+    }
+  }
+
   const RolloutSettings& settings;
   bool empty = true;
   double best_margin = 0;
@@ -101,6 +131,52 @@
 
 }  // namespace
 
+RequestGroup GroupOf(std::string kind, double work) {
+  const double size_class = std::log(std::max(work, 1.0)) / std::log(kSizeClassFactor);
+  return {std::move(kind), static_cast<std::uint32_t>(size_class)};
+}
+
+void LatencyHistogram::Add(Duration latency) {
+  const auto micros = static_cast<double>(duration_cast<microseconds>(latency).count());
+  ++this->counts[static_cast<std::uint32_t>(std::log2(std::max(micros, 1.0)) * kStepsPerDoubling)];
+}
+
+void LatencyHistogram::Merge(const LatencyHistogram& other) {
+  for (const auto& [step, count] : other.counts) {
+    this->counts[step] += count;
+  }
+}
+
+std::uint64_t LatencyHistogram::Total() const {
+  std::uint64_t total = 0;
+  for (const auto& [step, count] : this->counts) {
+    total += count;
+  }
+  return total;
+}
+
+std::uint32_t LatencyHistogram::StepOfQuantile(double quantile) const {
+  const double rank = quantile * static_cast<double>(this->Total());
+  std::uint64_t seen = 0;
+  std::uint32_t last = 0;
+  for (const auto& [step, count] : this->counts) {
+    seen += count;
+    last = step;
+    if (static_cast<double>(seen) >= rank) {
+      break;
+    }
+  }
+  return last;
+}
+
+std::uint64_t LatencyHistogram::CountAbove(std::uint32_t step) const {
+  std::uint64_t above = 0;
+  for (auto place = this->counts.upper_bound(step); place != this->counts.end(); ++place) {
+    above += place->second;
+  }
+  return above;
+}
+
 void VersionEvidence::Add(const FailureDomainId& domain, const AttemptResult& result,
                           const EvidenceSettings& settings) {
   const bool answered = result.outcome == AttemptOutcome::kAnswered;
@@ -114,12 +190,20 @@
   TrialCount& errors = counts.at(static_cast<std::size_t>(EvidenceKind::kErrors));
   ++errors.trials;
   errors.bad += failed ? 1 : 0;
-  if (!answered || !result.first_token) {
-    return;
+  if (answered && result.first_token) {
+    this->AddFirstToken(domain, {}, *result.first_token, settings);
   }
-  TrialCount& slow = counts.at(static_cast<std::size_t>(EvidenceKind::kSlowFirstToken));
+}
+
+void VersionEvidence::AddFirstToken(const FailureDomainId& domain, const RequestGroup& group,
+                                    Duration latency, const EvidenceSettings& settings) {
+  TrialCount& slow =
+      this->domains[domain].counts.at(static_cast<std::size_t>(EvidenceKind::kSlowFirstToken));
   ++slow.trials;
-  slow.bad += *result.first_token > settings.slow_first_token ? 1 : 0;
+  slow.bad += latency > settings.slow_first_token ? 1 : 0;
+  if (this->first_tokens.size() < kMaxRequestGroups || this->first_tokens.contains(group)) {
+    this->first_tokens[group].Add(latency);
+  }
 }
 
 void VersionEvidence::AddRating(const FailureDomainId& domain, double score,
@@ -141,6 +225,9 @@
       merged.counts.at(i).bad += evidence.counts.at(i).bad;
     }
   }
+  for (const auto& [group, histogram] : other.first_tokens) {
+    this->first_tokens[group].Merge(histogram);
+  }
 }
 
 DomainEvidence VersionEvidence::Total() const {
@@ -187,6 +274,28 @@
   return evidence_at((low + high) / 2);
 }
 
+LateCounts CountLate(const VersionEvidence& candidate, const VersionEvidence& baseline,
+                     const RolloutSettings& settings) {
+  const auto factor_steps =
+      static_cast<std::uint32_t>(std::lround(std::log2(settings.late_factor) * kStepsPerDoubling));
+  LateCounts late;
+  for (const auto& [group, latencies] : candidate.first_tokens) {
+    const auto place = baseline.first_tokens.find(group);
+    if (place == baseline.first_tokens.end() ||
+        place->second.Total() < settings.min_group_baseline) {
+      continue;
+    }
+    const LatencyHistogram& usual = place->second;
+    const std::uint32_t bound = std::max(usual.StepOfQuantile(settings.late_quantile),
+                                         usual.StepOfQuantile(0.5) + factor_steps);
+    late.candidate.trials += latencies.Total();
+    late.candidate.bad += latencies.CountAbove(bound);
+    late.baseline.trials += usual.Total();
+    late.baseline.bad += usual.CountAbove(bound);
+  }
+  return late;
+}
+
 RolloutDecision EvaluateRollout(const VersionEvidence& candidate, const VersionEvidence& baseline,
                                 const RolloutSettings& settings) {
   // Half of the false alarm probability goes to the comparison over all failure domains; the other
@@ -194,6 +303,7 @@
   const double half = settings.false_alarm_chance / 2;
   Comparison comparison(settings);
   comparison.Compare(candidate.Total(), baseline.Total(), std::nullopt, half);
+  comparison.CompareLate(CountLate(candidate, baseline, settings), half);
   const auto domain_count = static_cast<double>(std::max<std::size_t>(1, candidate.domains.size()));
   for (const auto& [domain, evidence] : candidate.domains) {
     if (const auto baseline_count = baseline.domains.find(domain);
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -161,11 +161,11 @@
   gateway::GatewayMetrics metrics;
   gateway::StreamPace pace;
   gateway::AnswerLateness lateness;
+  routing::EvidenceTable evidence;
 
  private:
   gateway::EdgeProtocol edge = TestEdge();
   gateway::RetryBudgets budgets;
-  routing::EvidenceTable evidence;
   gateway::RouteTablePtr table;
   gateway::CallContext parts{edge,
                              settings,
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -291,6 +291,23 @@
   CHECK(upstream.Calls() == 1);
 }
 
+TEST_CASE("the time to a first token counts as evidence on the version before the stream ends") {
+  // Failure: the slowest streams of a bad version were judged last, when all sessions had moved.
+  RawUpstream upstream([](const RawCall& call) {
+    call.Write(kStreamHead + Chunk(Event(1)));
+    call.AwaitClose();
+  });
+  GatewayPath path(RouteOf(RouteKind::kStream, 3));
+  path.SetUpstreams({upstream.Address()});
+  const auto caller = path.Connect();
+  caller->Write(Post(), SystemClock().Now() + seconds(10));
+  caller->Fill(SystemClock().Now() + seconds(10));
+  const routing::VersionEvidence seen =
+      path.evidence.Read({ModelId(fakes::kService.Value()), VersionId("v1")});
+  REQUIRE(seen.first_tokens.size() == 1);
+  CHECK(seen.first_tokens.begin()->second.Total() == 1);
+}
+
 TEST_CASE("keys: an unknown or missing key is refused, and no key is accepted without a lease") {
   RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
   GatewayPath path(RouteOf(RouteKind::kAtMostOnce));
--- a/test/routing/rollout_evaluation_test.cc
+++ b/test/routing/rollout_evaluation_test.cc
@@ -157,5 +157,71 @@
         "of the default version.");
 }
 
+/// Adds `requests` first tokens of two kinds of requests and many sizes, at an even pace and with a
+/// seeded spread; each `slow_every`th takes `slow_factor` times as long.
+VersionEvidence FirstTokens(std::uint64_t seed, int requests, int slow_every, double slow_factor,
+                            double work_factor = 1) {
+  Random random(seed);
+  VersionEvidence evidence;
+  for (int request = 0; request < requests; ++request) {
+    const bool is_long = request % 2 == 0;
+    const double work = work_factor * (is_long ? 2000 : 100) * (0.5 + random.Uniform());
+    double ms = 30 + work / 20 * (0.8 + 0.4 * random.Uniform());
+    if (slow_every > 0 && request % slow_every == 0) {
+      ms *= slow_factor;
+    }
+    evidence.AddFirstToken(request % 3 == 0 ? kLocalDomain : kRemoteDomain,
+                           GroupOf(is_long ? "long" : "short", work),
+                           milliseconds(static_cast<int>(ms)), {});
+  }
+  return evidence;
+}
+
+TEST_CASE(
+    "a candidate that is slow for the kind and size of its requests is stopped in its trial") {
+  // Failure: several times slower answers counted as good, as each came before the fixed bound.
+  const VersionEvidence baseline = FirstTokens(1, 600, 0, 1);
+  for (std::uint64_t seed = 2; seed < 22; ++seed) {
+    CAPTURE(seed);
+    const RolloutDecision bad = EvaluateRollout(FirstTokens(seed, 24, 2, 5), baseline, {});
+    CHECK(bad.stop);
+    CHECK(bad.reason == RolloutReason::kSlowFirstToken);
+    const RolloutDecision good = EvaluateRollout(FirstTokens(seed, 24, 0, 1), baseline, {});
+    CHECK_FALSE(good.stop);
+  }
+}
+
+TEST_CASE("a candidate that gets larger requests than the baseline is not taken for a slow one") {
+  // Failure: the latencies of large requests are compared with those of small ones.
+  const VersionEvidence baseline = FirstTokens(1, 600, 0, 1);
+  for (std::uint64_t seed = 2; seed < 22; ++seed) {
+    CAPTURE(seed);
+    CHECK_FALSE(EvaluateRollout(FirstTokens(seed, 100, 0, 1, 8), baseline, {}).stop);
+  }
+}
+
+TEST_CASE("latency counts of several entries merge to the counts of all their requests") {
+  VersionEvidence merged = FirstTokens(1, 50, 0, 1);
+  merged.Merge(FirstTokens(2, 70, 0, 1));
+  std::uint64_t total = 0;
+  for (const auto& [group, latencies] : merged.first_tokens) {
+    CHECK(latencies.CountAbove(0) == latencies.Total());
+    CHECK(latencies.CountAbove(latencies.StepOfQuantile(1)) == 0);
+    total += latencies.Total();
+  }
+  CHECK(total == 120);
+}
+
+TEST_CASE("callers that make up kinds of requests cannot make the counts grow without bound") {
+  VersionEvidence evidence;
+  for (int kind = 0; kind < 1000; ++kind) {
+    evidence.AddFirstToken(kLocalDomain, GroupOf(std::to_string(kind), 1), milliseconds(1), {});
+  }
+  CHECK(evidence.first_tokens.size() <= 128);
+  CHECK(
+      evidence.Total().counts.at(static_cast<std::size_t>(EvidenceKind::kSlowFirstToken)).trials ==
+      1000);
+}
+
 }  // namespace
 }  // namespace masticrill::routing
