Move all sessions to a new version only when its trial was judged good

Cause: all sessions moved at 0.72 of the time, whatever the trial had shown. In 15 s of a roll-out the trial has under 3 s and some 20 requests, and reports come once a second, so a bad version is often undecided then.

Change: the roll-out holds the time at which all sessions move; without it the share stays at 12 in 100. While a comparison leans against the candidate it is held, and rolled back if that is still so at 0.90. A new order begins with no session moved.

Tests replaced by ones as strict: "all sessions move before the completion" and "completed late in its roll-out" held that time alone moves and completes; now no time moves all sessions, a trial judged good does, and the completion needs the move and time to settle.

--- a/include/masticrill/config/configuration.h
+++ b/include/masticrill/config/configuration.h
@@ -162,6 +162,9 @@
   ServiceRolloutState state = ServiceRolloutState::kRunning;
   /// Why it ended, for readers.
   std::string reason;
+  /// When all sessions move to the target, in milliseconds since the Unix epoch; 0 while its trial
+  /// is not judged good.
+  WallTimeMs moved_at = 0;
 
   friend bool operator==(const ServiceRollout&, const ServiceRollout&) = default;
 };
--- a/include/masticrill/routing/rollout_evaluation.h
+++ b/include/masticrill/routing/rollout_evaluation.h
@@ -165,6 +165,9 @@
   TrialCount baseline = {};
   /// The log e-value of the comparison with the largest margin over its threshold.
   double log_evidence = 0;
+  /// The largest log e-value of the comparisons over all failure domains. Above 0 the evidence
+  /// leans against the candidate, although it may not suffice for a stop.
+  double trend = 0;
 
   friend bool operator==(const RolloutDecision&, const RolloutDecision&) = default;
 };
--- a/include/masticrill/routing/service_rollout.h
+++ b/include/masticrill/routing/service_rollout.h
@@ -7,18 +7,28 @@
 namespace masticrill::routing {
 
 /// The schedule of a service roll-out with a deadline. Sessions stay on the old version at first.
-/// Then a small share of them moves to the candidate, so that a bad candidate reaches few requests;
-/// then all move, and the old upstreams finish their running requests before they are stopped.
-/// A session never moves back while the roll-out runs, and all hosts move it at the same time.
+/// Then a small share of them moves to the candidate, so that a bad candidate reaches few requests.
+/// When the trial was judged good, all move, and the old upstreams finish their running requests
+/// before they are stopped. A session never moves back while the roll-out runs, and all hosts move
+/// it at the same time.
 struct RolloutPlan {
   /// The part of the duration after which sessions may move, with a margin for clock differences.
   double trial_from = 0.53;
   /// The share of the sessions that moves at `trial_from`.
   double trial_share = 0.12;
-  /// The part of the duration after which all sessions move.
-  double move_at = 0.72;
+  /// The part of the duration after which all sessions move to a candidate that is shown sound.
+  double judge_from = 0.66;
+  /// The part of the duration after which they also move to one of which too little is known.
+  double judge_any_from = 0.80;
   /// The part of the duration at which the roll-out is declared completed.
   double complete_at = 0.90;
+  /// The part of the duration that the old upstreams get to finish their requests.
+  double settle = 0.08;
+  /// The latest part of the duration to which `settle` postpones the completion.
+  double latest_complete_at = 0.96;
+  /// The time from the judgement until all sessions move: every host learns of it with its next
+  /// lease.
+  milliseconds move_notice{1200};
 
   friend bool operator==(const RolloutPlan&, const RolloutPlan&) = default;
 };
--- a/src/config/document.cc
+++ b/src/config/document.cc
@@ -112,7 +112,8 @@
           {"duration_ms", rollout.duration.count()},
           {"ordered_at", rollout.ordered_at},
           {"state", kServiceRolloutStates.at(static_cast<std::size_t>(rollout.state))},
-          {"reason", rollout.reason}};
+          {"reason", rollout.reason},
+          {"moved_at", rollout.moved_at}};
 }
 
 template <typename Id, typename Value>
--- a/src/config/document_parser.cc
+++ b/src/config/document_parser.cc
@@ -217,7 +217,7 @@
 }
 
 ServiceRollout ReadServiceRollout(const JsonNode& node) {
-  node.Only({"target", "duration_ms", "ordered_at", "state", "reason"});
+  node.Only({"target", "duration_ms", "ordered_at", "state", "reason", "moved_at"});
   ServiceRollout rollout;
   rollout.target = VersionId(node.RequiredText("target"));
   rollout.duration = milliseconds(node.Integer("duration_ms", 0, {0, kMaxServiceRolloutMs}));
@@ -225,6 +225,7 @@
   rollout.state = static_cast<ServiceRolloutState>(
       node.Choice("state", {"running", "completed", "rolled_back"}));
   rollout.reason = node.Text("reason");
+  rollout.moved_at = static_cast<WallTimeMs>(node.Integer("moved_at", 0, {0, kMaxWallTimeMs}));
   return rollout;
 }
 
--- a/src/control/rollout_controller.cc
+++ b/src/control/rollout_controller.cc
@@ -6,6 +6,7 @@
 
 #include "control/node_registry.h"
 #include "masticrill/common/log.h"
+#include "masticrill/routing/rollout_soundness.h"
 
 namespace masticrill::control {
 namespace {
@@ -30,6 +31,35 @@
          std::to_string(decision.baseline.trials);
 }
 
+std::string Describe(const RolloutEvidence& evidence) {
+  const routing::LateCounts late = routing::CountLate(evidence.candidate, evidence.baseline, {});
+  return std::to_string(TrialsOf(evidence.candidate)) + " trials, late " +
+         std::to_string(late.candidate.bad) + "/" + std::to_string(late.candidate.trials) +
+         ", baseline " + std::to_string(late.baseline.bad) + "/" +
+         std::to_string(late.baseline.trials);
+}
+
+/// Judges a candidate that has only its trial share and for whose stop the evidence does not
+/// suffice.
+RolloutJudgement JudgeTrial(const routing::RolloutDecision& decision,
+                            const RolloutEvidence& evidence, double progress,
+                            const routing::RolloutPlan& plan) {
+  const routing::Soundness soundness =
+      routing::JudgeSoundness(evidence.candidate, evidence.baseline, {});
+  if (decision.trend > 0 || soundness == routing::Soundness::kDoubtful) {
+    return progress < plan.complete_at
+               ? RolloutJudgement{}
+               : RolloutJudgement{RolloutVerdict::kRollBack,
+                                  "undecided at the end of the trial: " + Describe(evidence)};
+  }
+  const bool is_shown = soundness == routing::Soundness::kShown;
+  if (progress < (is_shown ? plan.judge_from : plan.judge_any_from)) {
+    return {};
+  }
+  return {RolloutVerdict::kMoveAll,
+          std::string(is_shown ? "sound in " : "likely sound in ") + Describe(evidence)};
+}
+
 }  // namespace
 
 RolloutEvidence MergeEvidence(const std::vector<net::NodeReport>& reports, const ServiceId& service,
@@ -54,10 +84,15 @@
   if (decision.stop) {
     return {RolloutVerdict::kRollBack, Describe(decision)};
   }
-  if (routing::RolloutProgress(rollout, now) >= plan.complete_at &&
-      TrialsOf(evidence.candidate) >= kMinTrials) {
-    return {RolloutVerdict::kComplete,
-            "good in " + std::to_string(TrialsOf(evidence.candidate)) + " trials"};
+  const double progress = routing::RolloutProgress(rollout, now);
+  const std::uint64_t trials = TrialsOf(evidence.candidate);
+  if (rollout.moved_at == 0) {
+    return JudgeTrial(decision, evidence, progress, plan);
+  }
+  const double settled = routing::RolloutProgress(rollout, rollout.moved_at) + plan.settle;
+  if (now >= rollout.moved_at && trials >= kMinTrials &&
+      progress >= std::max(plan.complete_at, std::min(settled, plan.latest_complete_at))) {
+    return {RolloutVerdict::kComplete, "good in " + std::to_string(trials) + " trials"};
   }
   return {};
 }
@@ -88,14 +123,24 @@
     const RolloutJudgement judgement =
         JudgeServiceRollout(rollout, MergeEvidence(reports, service, rollout.target), this->plan,
                             this->clock.WallNow());
-    if (judgement.verdict != RolloutVerdict::kContinue) {
+    if (judgement.verdict == RolloutVerdict::kMoveAll) {
+      this->MoveAll(service, rollout, judgement);
+    } else if (judgement.verdict != RolloutVerdict::kContinue) {
       this->EndRollout(service, rollout, judgement);
     }
   }
   return kCheckInterval;
 }
 
-/// Commits the end of a roll-out, unless the roll-out has changed in the meantime.
+void RolloutController::MoveAll(const ServiceId& service, const config::ServiceRollout& rollout,
+                                const RolloutJudgement& judgement) {
+  const WallTimeMs moved_at = this->clock.WallNow() + this->plan.move_notice.count();
+  kLog.Info("The trial of a roll-out was judged good; all sessions move.",
+            {{"service", service}, {"target", rollout.target}, {"evidence", judgement.reason}});
+  this->CommitUnlessChanged(service, rollout, {{"moved_at", moved_at}},
+                            "move of " + service.Value());
+}
+
 void RolloutController::EndRollout(const ServiceId& service, const config::ServiceRollout& rollout,
                                    const RolloutJudgement& judgement) {
   const char* const next =
@@ -104,20 +149,27 @@
                                                 {"target", rollout.target},
                                                 {"state", next},
                                                 {"evidence", judgement.reason}});
+  this->CommitUnlessChanged(service, rollout, {{"state", next}, {"reason", judgement.reason}},
+                            "end of the roll-out of " + service.Value());
+}
+
+/// Commits a change of a roll-out, unless the roll-out has changed in the meantime.
+void RolloutController::CommitUnlessChanged(const ServiceId& service,
+                                            const config::ServiceRollout& rollout,
+                                            const nlohmann::json& change,
+                                            const std::string& reason) {
   const ChangeOutcome outcome = this->access.Change(
       [&](const config::Configuration& configuration) {
         const auto place = configuration.service_rollouts.find(service);
         if (place == configuration.service_rollouts.end() || place->second != rollout) {
           return PlannedChange{};
         }
-        const nlohmann::json patch = {
-            {"service_rollouts",
-             {{service.Value(), {{"state", next}, {"reason", judgement.reason}}}}}};
+        const nlohmann::json patch = {{"service_rollouts", {{service.Value(), change}}}};
         return PlannedChange{patch.dump(), std::nullopt};
       },
-      kAuthor, "end of the roll-out of " + service.Value());
+      kAuthor, reason);
   if (!outcome.acknowledged) {
-    kLog.Warning("The end of a roll-out was not committed; retrying at the next check.",
+    kLog.Warning("A change of a roll-out was not committed; retrying at the next check.",
                  {{"service", service}, {"cause", outcome.error.message}});
   }
 }
--- a/src/control/rollout_controller.h
+++ b/src/control/rollout_controller.h
@@ -1,6 +1,8 @@
 #ifndef MASTICRILL_CONTROL_ROLLOUT_CONTROLLER_H_
 #define MASTICRILL_CONTROL_ROLLOUT_CONTROLLER_H_
 
+#include <nlohmann/json_fwd.hpp>
+#include <string>
 #include <vector>
 
 #include "control/fleet_view.h"
@@ -14,7 +16,7 @@
 namespace masticrill::control {
 
 /// Decision on a running roll-out.
-enum class RolloutVerdict { kContinue, kComplete, kRollBack };
+enum class RolloutVerdict { kContinue, kMoveAll, kComplete, kRollBack };
 
 /// The merged evidence of all entries on one roll-out.
 struct RolloutEvidence {
@@ -29,8 +31,10 @@
                               const VersionId& target);
 
 /// Decision of JudgeServiceRollout on the merged evidence: a candidate that is worse than the
-/// baseline is rolled back at once; one that is not worse and has enough trials is completed when
-/// the roll-out has progressed to `plan.complete_at`. The function is pure.
+/// baseline is rolled back at once. One that is shown to be sound gets all sessions, and is
+/// completed when the old upstreams had time to finish; one of which little is known gets them
+/// later. While the evidence leans against the candidate, its share is held; if it still does when
+/// the roll-out should be completed, the candidate is rolled back. The function is pure.
 struct RolloutJudgement {
   RolloutVerdict verdict = RolloutVerdict::kContinue;
   std::string reason;
@@ -50,8 +54,12 @@
 
  private:
   Duration RunOnce();
+  void MoveAll(const ServiceId& service, const config::ServiceRollout& rollout,
+               const RolloutJudgement& judgement);
   void EndRollout(const ServiceId& service, const config::ServiceRollout& rollout,
                   const RolloutJudgement& judgement);
+  void CommitUnlessChanged(const ServiceId& service, const config::ServiceRollout& rollout,
+                           const nlohmann::json& change, const std::string& reason);
 
   ReplicaRunner& replica;
   const state::ReplicatedState& state;
--- a/src/routing/rollout_evaluation.cc
+++ b/src/routing/rollout_evaluation.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "masticrill/routing/rollout_soundness.h"
+
 namespace masticrill::routing {
 namespace {
 
@@ -103,6 +105,9 @@
   void Consider(const Counts& counts, const std::optional<FailureDomainId>& domain) {
     const double evidence =
         LogEvidenceOfRegression(counts.candidate, counts.baseline, counts.tolerated_difference);
+    if (!domain) {
+      this->trend = std::max(this->trend.value_or(evidence), evidence);
+    }
     const double margin = evidence + std::log(counts.chance);
     if (this->empty || margin > this->best_margin) {
       this->empty = false;
@@ -114,11 +119,13 @@
                         .baseline = counts.baseline,
                         .log_evidence = evidence};
     }
+    this->decision.trend = this->trend.value_or(0);
   }
 
   const RolloutSettings& settings;
   bool empty = true;
   double best_margin = 0;
+  std::optional<double> trend;
   RolloutDecision decision;
 };
 
@@ -314,6 +321,23 @@
   return comparison.Decision();
 }
 
+Soundness JudgeSoundness(const VersionEvidence& candidate, const VersionEvidence& baseline,
+                         const RolloutSettings& settings, const SoundnessSettings& soundness) {
+  const auto judge = [&](const TrialCount& tried, const TrialCount& usual) {
+    const double harmful = BadRate(usual) + soundness.harmful_difference;
+    if (BadRate(tried) >= harmful - soundness.harmful_difference / 2) {
+      return Soundness::kDoubtful;
+    }
+    const double evidence = LogMixtureRatio(tried, kCandidatePrior, harmful);
+    return evidence >= -std::log(soundness.error_chance) ? Soundness::kShown : Soundness::kLikely;
+  };
+  const Soundness by_errors = judge(CountOf(candidate.Total(), EvidenceKind::kErrors),
+                                    CountOf(baseline.Total(), EvidenceKind::kErrors));
+  const LateCounts late = CountLate(candidate, baseline, settings);
+  return late.candidate.trials == 0 ? by_errors
+                                    : std::max(by_errors, judge(late.candidate, late.baseline));
+}
+
 std::string HaltPatch(const ModelId& model, const VersionId& candidate,
                       const RolloutDecision& decision) {
   std::string reason =
--- a/src/routing/service_rollout.cc
+++ b/src/routing/service_rollout.cc
@@ -19,11 +19,10 @@
     case config::ServiceRolloutState::kRunning:
       break;
   }
-  const double progress = RolloutProgress(rollout, now);
-  if (progress < plan.trial_from) {
-    return 0;
+  if (rollout.moved_at != 0 && now >= rollout.moved_at) {
+    return 1;
   }
-  return progress < plan.move_at ? plan.trial_share : 1;
+  return RolloutProgress(rollout, now) < plan.trial_from ? 0 : plan.trial_share;
 }
 
 }  // namespace masticrill::routing
--- a/test/control/rollout_controller_test.cc
+++ b/test/control/rollout_controller_test.cc
@@ -68,12 +68,41 @@
   CHECK(JudgeServiceRollout(Running(), merged, {}, 12'000).verdict == RolloutVerdict::kContinue);
 }
 
-TEST_CASE("a good candidate is completed late in its roll-out, but not without trials") {
+TEST_CASE(
+    "a good candidate gets all sessions after its trial, and is completed when these settled") {
   const std::vector<net::NodeReport> tried = {Report("e1", 20, 0), Report("e2", 20, 0)};
   CHECK(VerdictAt(tried, 12'000) == RolloutVerdict::kContinue);
-  CHECK(VerdictAt(tried, 18'500) == RolloutVerdict::kComplete);
-  CHECK(VerdictAt({Report("e1", 0, 0)}, 18'500) == RolloutVerdict::kContinue);
-  CHECK(VerdictAt({}, 18'500) == RolloutVerdict::kContinue);
+  CHECK(VerdictAt(tried, 13'500) == RolloutVerdict::kMoveAll);
+  config::ServiceRollout moved = Running();
+  const auto verdict_at = [&](const std::vector<net::NodeReport>& reports, WallTimeMs now) {
+    return JudgeServiceRollout(moved, MergeEvidence(reports, kService, kTarget), {}, now).verdict;
+  };
+  moved.moved_at = 14'500;
+  CHECK(verdict_at(tried, 17'500) == RolloutVerdict::kContinue);
+  CHECK(verdict_at(tried, 18'500) == RolloutVerdict::kComplete);
+  CHECK(verdict_at({Report("e1", 0, 0)}, 18'500) == RolloutVerdict::kContinue);
+  CHECK(verdict_at({}, 18'500) == RolloutVerdict::kContinue);
+  // One that moves late is still completed before its deadline.
+  moved.moved_at = 18'500;
+  CHECK(verdict_at(tried, 18'600) == RolloutVerdict::kContinue);
+  CHECK(verdict_at(tried, 19'300) == RolloutVerdict::kComplete);
+}
+
+TEST_CASE("a candidate that gets few requests is not held for want of trials") {
+  // Failure: a good version of a service with little traffic is not completed by its deadline.
+  CHECK(VerdictAt({Report("e1", 3, 0)}, 14'000) == RolloutVerdict::kContinue);
+  CHECK(VerdictAt({Report("e1", 3, 0)}, 16'500) == RolloutVerdict::kMoveAll);
+}
+
+TEST_CASE(
+    "a candidate on which the evidence leans worse keeps its trial share, or is rolled back") {
+  // Failure: all sessions moved by time alone to a version on which the trial was undecided.
+  const std::vector<net::NodeReport> undecided = {Report("e1", 12, 2)};
+  for (const WallTimeMs now : {13'500, 15'000, 17'900}) {
+    CHECK(VerdictAt(undecided, now) == RolloutVerdict::kContinue);
+  }
+  CHECK(VerdictAt(undecided, 18'100) == RolloutVerdict::kRollBack);
+  CHECK(VerdictAt({Report("e1", 60, 0)}, 15'000) == RolloutVerdict::kMoveAll);
 }
 
 TEST_CASE("reports on another target, and out-of-date reports of entries, do not count") {
--- a/test/platform/operator_frontend_test.cc
+++ b/test/platform/operator_frontend_test.cc
@@ -151,6 +151,18 @@
   }
 }
 
+TEST_CASE("a roll-out that is ordered anew begins with no session moved") {
+  // Failure: the new order inherits the move of the roll-out before it, and skips its trial.
+  Operator sender;
+  sender.access.document =
+      R"({"service_rollouts":{"s":{"target":"v2","duration_ms":12000,"ordered_at":5,
+          "state":"completed","reason":"","moved_at":9000}}})";
+  REQUIRE(sender.access.Parsed()->service_rollouts.at(ServiceId("s")).moved_at == 9000);
+  CHECK(sender.Send("POST", "/v1/rollouts", R"({"Service":"s","Target":"v3","DurationS":12})")
+            .status == 200);
+  CHECK(sender.access.Parsed()->service_rollouts.at(ServiceId("s")).moved_at == 0);
+}
+
 TEST_CASE("a failure domain is taken out and in again, each once") {
   Operator sender;
   CHECK(sender.Send("POST", "/v1/evacuations/north").status == 200);
--- a/test/routing/rollout_evaluation_test.cc
+++ b/test/routing/rollout_evaluation_test.cc
@@ -6,6 +6,7 @@
 
 #include "masticrill/common/random.h"
 #include "masticrill/routing/evidence_table.h"
+#include "masticrill/routing/rollout_soundness.h"
 
 namespace masticrill::routing {
 namespace {
@@ -186,8 +187,11 @@
     const RolloutDecision bad = EvaluateRollout(FirstTokens(seed, 24, 2, 5), baseline, {});
     CHECK(bad.stop);
     CHECK(bad.reason == RolloutReason::kSlowFirstToken);
+    CHECK(bad.trend > 0);
+    CHECK(EvaluateRollout(FirstTokens(seed, 10, 2, 5), baseline, {}).trend > 0);
     const RolloutDecision good = EvaluateRollout(FirstTokens(seed, 24, 0, 1), baseline, {});
     CHECK_FALSE(good.stop);
+    CHECK(good.trend <= 0);
   }
 }
 
@@ -200,6 +204,37 @@
   }
 }
 
+TEST_CASE("a candidate is shown sound only by enough requests, few of them bad") {
+  // Failure: a handful of requests that happened to be good counted as a good trial.
+  const auto judge = [](const TrialCount& candidate) {
+    VersionEvidence tried;
+    SetCount(tried, kLocalDomain, EvidenceKind::kErrors, candidate.trials, candidate.bad);
+    VersionEvidence usual;
+    SetCount(usual, kLocalDomain, EvidenceKind::kErrors, 600, 2);
+    return JudgeSoundness(tried, usual, {});
+  };
+  CHECK(judge({0, 0}) == Soundness::kLikely);
+  CHECK(judge({6, 0}) == Soundness::kLikely);
+  CHECK(judge({16, 0}) == Soundness::kShown);
+  CHECK(judge({16, 3}) == Soundness::kDoubtful);
+  CHECK(judge({40, 1}) == Soundness::kShown);
+}
+
+TEST_CASE("a candidate with late first tokens is not shown sound by the absence of errors") {
+  const auto with_answers = [](VersionEvidence evidence, std::uint64_t trials) {
+    SetCount(evidence, kLocalDomain, EvidenceKind::kErrors, trials, 0);
+    return evidence;
+  };
+  const VersionEvidence baseline = with_answers(FirstTokens(1, 600, 0, 1), 600);
+  for (std::uint64_t seed = 2; seed < 22; ++seed) {
+    CAPTURE(seed);
+    CHECK(JudgeSoundness(with_answers(FirstTokens(seed, 32, 0, 1), 32), baseline, {}) ==
+          Soundness::kShown);
+    CHECK(JudgeSoundness(with_answers(FirstTokens(seed, 32, 3, 5), 32), baseline, {}) ==
+          Soundness::kDoubtful);
+  }
+}
+
 TEST_CASE("latency counts of several entries merge to the counts of all their requests") {
   VersionEvidence merged = FirstTokens(1, 50, 0, 1);
   merged.Merge(FirstTokens(2, 70, 0, 1));
--- a/test/routing/service_rollout_test.cc
+++ b/test/routing/service_rollout_test.cc
@@ -12,9 +12,13 @@
 
 TEST_CASE("no session moves in the first half, and the share that moved never shrinks") {
   const RolloutPlan plan;
+  config::ServiceRollout rollout = Running(100'000);
   double last = 0;
   for (WallTimeMs now = 90'000; now <= 140'000; now += 50) {
-    const double share = TargetShare(Running(100'000), plan, now);
+    if (now >= 114'000) {
+      rollout.moved_at = 115'000;
+    }
+    const double share = TargetShare(rollout, plan, now);
     CHECK(share >= last);
     CHECK(share <= 1);
     if (now <= 110'000) {
@@ -25,13 +29,20 @@
   CHECK(last == 1);
 }
 
-TEST_CASE("a candidate on trial gets a small share, and all sessions move before the completion") {
+TEST_CASE("all sessions move only when the trial was judged good, however much time has passed") {
+  // Failure: a bad candidate got all sessions by time alone, before its trial could show it.
   const RolloutPlan plan;
+  config::ServiceRollout rollout = Running(0);
   const auto at = [&](double progress) {
-    return TargetShare(Running(0), plan, static_cast<WallTimeMs>(progress * 20'000));
+    return TargetShare(rollout, plan, static_cast<WallTimeMs>(progress * 20'000));
   };
-  CHECK(at(0.6) == doctest::Approx(plan.trial_share));
   CHECK(plan.trial_share <= 0.15);
+  for (const double progress : {0.6, plan.complete_at, 1.0, 2.0}) {
+    CHECK(at(progress) == doctest::Approx(plan.trial_share));
+  }
+  rollout.moved_at = 15'000;
+  CHECK(at(0.74) == doctest::Approx(plan.trial_share));
+  CHECK(at(0.75) == 1);
   CHECK(at(plan.complete_at) == 1);
 }
 
