--- a/test/routing/rollout_evaluation_test.cc
+++ b/test/routing/rollout_evaluation_test.cc
@@ -6,6 +6,7 @@
 
 #include "masticrill/common/random.h"
 #include "masticrill/routing/evidence_table.h"
+#include "masticrill/routing/rollout_soundness.h"
 
 namespace masticrill::routing {
 namespace {
@@ -157,5 +158,105 @@
         "of the default version.");
 }
 
+/// Adds `requests` first tokens of two kinds of requests and many sizes, at an even pace and with a
+/// seeded spread; each `slow_every`th takes `slow_factor` times as long.
+VersionEvidence FirstTokens(std::uint64_t seed, int requests, int slow_every, double slow_factor,
+                            double work_factor = 1) {
+  Random random(seed);
+  VersionEvidence evidence;
+  for (int request = 0; request < requests; ++request) {
+    const bool is_long = request % 2 == 0;
+    const double work = work_factor * (is_long ? 2000 : 100) * (0.5 + random.Uniform());
+    double ms = 30 + work / 20 * (0.8 + 0.4 * random.Uniform());
+    if (slow_every > 0 && request % slow_every == 0) {
+      ms *= slow_factor;
+    }
+    evidence.AddFirstToken(request % 3 == 0 ? kLocalDomain : kRemoteDomain,
+                           GroupOf(is_long ? "long" : "short", work),
+                           milliseconds(static_cast<int>(ms)), {});
+  }
+  return evidence;
+}
+
+TEST_CASE(
+    "a candidate that is slow for the kind and size of its requests is stopped in its trial") {
+  // Failure: several times slower answers counted as good, as each came before the fixed bound.
+  const VersionEvidence baseline = FirstTokens(1, 600, 0, 1);
+  for (std::uint64_t seed = 2; seed < 22; ++seed) {
+    CAPTURE(seed);
+    const RolloutDecision bad = EvaluateRollout(FirstTokens(seed, 24, 2, 5), baseline, {});
+    CHECK(bad.stop);
+    CHECK(bad.reason == RolloutReason::kSlowFirstToken);
+    CHECK(bad.trend > 0);
+    CHECK(EvaluateRollout(FirstTokens(seed, 10, 2, 5), baseline, {}).trend > 0);
+    const RolloutDecision good = EvaluateRollout(FirstTokens(seed, 24, 0, 1), baseline, {});
+    CHECK_FALSE(good.stop);
+    CHECK(good.trend <= 0);
+  }
+}
+
+TEST_CASE("a candidate that gets larger requests than the baseline is not taken for a slow one") {
+  // Failure: the latencies of large requests are compared with those of small ones.
+  const VersionEvidence baseline = FirstTokens(1, 600, 0, 1);
+  for (std::uint64_t seed = 2; seed < 22; ++seed) {
+    CAPTURE(seed);
+    CHECK_FALSE(EvaluateRollout(FirstTokens(seed, 100, 0, 1, 8), baseline, {}).stop);
+  }
+}
+
+TEST_CASE("a candidate is shown sound only by enough requests, few of them bad") {
+  // Failure: a handful of requests that happened to be good counted as a good trial.
+  const auto judge = [](const TrialCount& candidate) {
+    VersionEvidence tried;
+    SetCount(tried, kLocalDomain, EvidenceKind::kErrors, candidate.trials, candidate.bad);
+    VersionEvidence usual;
+    SetCount(usual, kLocalDomain, EvidenceKind::kErrors, 600, 2);
+    return JudgeSoundness(tried, usual, {});
+  };
+  CHECK(judge({0, 0}) == Soundness::kLikely);
+  CHECK(judge({6, 0}) == Soundness::kLikely);
+  CHECK(judge({16, 0}) == Soundness::kShown);
+  CHECK(judge({16, 3}) == Soundness::kDoubtful);
+  CHECK(judge({40, 1}) == Soundness::kShown);
+}
+
+TEST_CASE("a candidate with late first tokens is not shown sound by the absence of errors") {
+  const auto with_answers = [](VersionEvidence evidence, std::uint64_t trials) {
+    SetCount(evidence, kLocalDomain, EvidenceKind::kErrors, trials, 0);
+    return evidence;
+  };
+  const VersionEvidence baseline = with_answers(FirstTokens(1, 600, 0, 1), 600);
+  for (std::uint64_t seed = 2; seed < 22; ++seed) {
+    CAPTURE(seed);
+    CHECK(JudgeSoundness(with_answers(FirstTokens(seed, 32, 0, 1), 32), baseline, {}) ==
+          Soundness::kShown);
+    CHECK(JudgeSoundness(with_answers(FirstTokens(seed, 32, 3, 5), 32), baseline, {}) ==
+          Soundness::kDoubtful);
+  }
+}
+
+TEST_CASE("latency counts of several entries merge to the counts of all their requests") {
+  VersionEvidence merged = FirstTokens(1, 50, 0, 1);
+  merged.Merge(FirstTokens(2, 70, 0, 1));
+  std::uint64_t total = 0;
+  for (const auto& [group, latencies] : merged.first_tokens) {
+    CHECK(latencies.CountAbove(0) == latencies.Total());
+    CHECK(latencies.CountAbove(latencies.StepOfQuantile(1)) == 0);
+    total += latencies.Total();
+  }
+  CHECK(total == 120);
+}
+
+TEST_CASE("callers that make up kinds of requests cannot make the counts grow without bound") {
+  VersionEvidence evidence;
+  for (int kind = 0; kind < 1000; ++kind) {
+    evidence.AddFirstToken(kLocalDomain, GroupOf(std::to_string(kind), 1), milliseconds(1), {});
+  }
+  CHECK(evidence.first_tokens.size() <= 128);
+  CHECK(
+      evidence.Total().counts.at(static_cast<std::size_t>(EvidenceKind::kSlowFirstToken)).trials ==
+      1000);
+}
+
 }  // namespace
 }  // namespace masticrill::routing
