--- a/src/control/group_joiner.cc
+++ b/src/control/group_joiner.cc
@@ -9,6 +9,9 @@
 constexpr Logger kLog(LogPart::kControl);
 constexpr Duration kRetryInterval = milliseconds(300);
 constexpr Duration kMemberCheckInterval = seconds(1);
+/// A member without a leader for this long asks whether the group still knows it: the entry that
+/// removed it may never have reached its log.
+constexpr Duration kMaxLeaderless = seconds(2);
 constexpr Duration kCallTimeout = seconds(2);
 
 }  // namespace
@@ -26,7 +29,8 @@
   if (!this->options.auto_join || !this->formation.IsComplete()) {
     return kRetryInterval;
   }
-  if (status.membership.IsMember(status.id)) {
+  const bool is_member = status.membership.IsMember(status.id);
+  if (is_member && !this->IsLeaderless(status)) {
     return kMemberCheckInterval;
   }
   for (const PeerAddress& peer : this->addresses.All()) {
@@ -34,7 +38,25 @@
       return kMemberCheckInterval;
     }
   }
-  return kRetryInterval;
+  const std::optional<std::string> causes = this->report.EndRound(this->clock.Now());
+  // A member is refused as long as the whole group is without a leader, which has lines of its own.
+  if (causes && !is_member) {
+    kLog.Warning("No control host accepted the join request of this replica; asking again.",
+                 {{"node", status.id.node},
+                  {"identity", status.id.identity},
+                  {"asked", this->addresses.All().size()},
+                  {"causes", *causes}});
+  }
+  return is_member ? kMemberCheckInterval : kRetryInterval;
+}
+
+/// Whether no leader has been known for longer than the limit.
+bool GroupJoiner::IsLeaderless(const consensus::ReplicaStatus& status) {
+  const TimePoint now = this->clock.Now();
+  if (!status.leader.Empty()) {
+    this->led_at = now;
+  }
+  return now - this->led_at > kMaxLeaderless;
 }
 
 bool GroupJoiner::RequestJoin(const PeerAddress& peer) {
@@ -46,19 +68,15 @@
                                                       this->options.rpc_address},
                                    kCallTimeout));
         kLog.Info("The leader accepted the join request of this replica.",
-                  {{"leader", peer.node}, {"answer", reply.message}});
-        this->refusal_logged = false;
+                  {{"asked", peer.node}, {"answer", reply.message}});
+        this->report.Accept();
         return true;
       },
       [&](const Error& error) {
         if (error.kind == ErrorKind::kRetired) {
           this->retired = true;
         }
-        if (!this->refusal_logged && error.kind != ErrorKind::kNotLeader) {
-          kLog.Warning("The join request of this replica failed; asking again.",
-                       {{"asked", peer.node}, {"cause", error.message}});
-          this->refusal_logged = true;
-        }
+        this->report.Refuse(peer.node, error);
         return false;
       });
 }
--- a/src/control/group_joiner.h
+++ b/src/control/group_joiner.h
@@ -5,6 +5,7 @@
 
 #include "control/address_book.h"
 #include "control/group_formation.h"
+#include "control/join_report.h"
 #include "control/periodic_thread.h"
 #include "control/replica_runner.h"
 #include "masticrill/control/control_options.h"
@@ -12,7 +13,8 @@
 namespace masticrill::control {
 
 /// Requests membership in a running group as long as this replica is not a member, as after a start
-/// with an empty data folder. Owns a thread.
+/// with an empty data folder, or knows no leader, as when the group removed it meanwhile. Owns a
+/// thread.
 class GroupJoiner {
  public:
   /// The arguments must outlive the joiner.
@@ -22,9 +24,12 @@
   /// Whether the group has permanently removed the identity of this replica: the process must end,
   /// empty its data folder and restart.
   bool IsRetired() const { return this->retired; }
+  /// The join requests of this replica, by result.
+  const JoinCounter& Requests() const { return this->report.Counts(); }
 
  private:
   Duration RunOnce();
+  bool IsLeaderless(const consensus::ReplicaStatus& status);
   bool RequestJoin(const PeerAddress& peer);
 
   const ControlOptions& options;
@@ -32,7 +37,10 @@
   AddressBook& addresses;
   const GroupFormation& formation;
   std::atomic<bool> retired = false;
-  bool refusal_logged = false;
+  SystemClock clock;
+  /// When a leader was last known; the start of the thread before that.
+  TimePoint led_at = this->clock.Now();
+  JoinReport report;
   PeriodicThread thread;
 };
 
