--- a/test/control/joining_test.cc
+++ b/test/control/joining_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -9,6 +10,8 @@
 
 #include "fakes/control_cluster.h"
 #include "fakes/control_operators.h"
+#include "masticrill/consensus/codec.h"
+#include "masticrill/net/messages.h"
 
 namespace masticrill::control {
 namespace {
@@ -282,5 +285,76 @@
   CHECK(HasTeam(cluster.Call(4, GetCall("/v1/config")).body, "kept"));
 }
 
+// Failure: an observer never starts again, since its former process was killed while it wrote.
+TEST_CASE("an observer starts from an empty folder, whatever a former process left there") {
+  ControlCluster cluster(3, QuickTimings());
+  EnableAutoJoin(cluster);
+  cluster.StartAll();
+  const std::size_t observer = cluster.AddJoining("c-observer");
+  cluster.Options(observer).auto_join = true;
+  cluster.Options(observer).may_vote = false;
+  const std::filesystem::path replica = cluster.FolderOf(observer) + "/replica";
+  std::filesystem::create_directories(replica);
+  std::ofstream(replica / "identity").close();
+  REQUIRE(cluster.TryStart(observer) == "");
+  CHECK(WaitUntil([&] { return VotersAt(cluster, observer).size() == 3; }));
+}
+
+/// The identity of the host's data folder, as it tells other replicas.
+storage::DataFolderId IdentityOf(ControlCluster& cluster, std::size_t index) {
+  net::RpcClient client(cluster.Options(index).rpc_address,
+                        NodeCredentials("c-test", net::NodeRole::kControl), {});
+  return HandleErrors(
+      [&]() -> Result<storage::DataFolderId> {
+        BOOST_LEAF_AUTO(reply, client.Call<net::FormReply>(net::FormRequest{}, kGenerous));
+        return storage::DataFolderId(reply.identity);
+      },
+      [](const Error& error) {
+        FAIL(error.message);
+        return storage::DataFolderId();
+      });
+}
+
+// Failure: a removed replica never starts again, since its process ended while it deleted its
+// files.
+TEST_CASE("a host that discards its data starts as a new replica after an interrupted removal") {
+  ControlCluster cluster(3, QuickTimings());
+  EnableAutoJoin(cluster);
+  cluster.StartAll();
+  const std::size_t discarding = cluster.Follower();
+  const storage::DataFolderId former = IdentityOf(cluster, discarding);
+  REQUIRE(HandleErrors(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(cluster.At(discarding).DiscardData());
+        return true;
+      },
+      [](const Error&) { return false; }));
+  cluster.Crash(discarding);
+  std::filesystem::remove(cluster.FolderOf(discarding) + "/replica/identity");
+  cluster.Options(discarding).join = true;
+  REQUIRE(cluster.TryStart(discarding) == "");
+  CHECK(IdentityOf(cluster, discarding) != former);
+  const std::string name = cluster.Options(discarding).node.Value();
+  CHECK(WaitUntil([&] { return VotersAt(cluster, discarding).contains(name); }));
+  CHECK_FALSE(std::filesystem::exists(cluster.FolderOf(discarding) + "/discarded"));
+}
+
+// Failure: the coordinator restarts while the group forms, and all hosts wait for it forever.
+TEST_CASE("a coordinator that restarts after it accepted a membership forms the group") {
+  ControlCluster cluster(3, QuickTimings());
+  EnableAutoJoin(cluster);
+  consensus::Membership membership;
+  for (std::size_t index = 0; index < cluster.Size(); ++index) {
+    cluster.Start(index);
+    membership.voters.push_back({cluster.Options(index).node, IdentityOf(cluster, index)});
+    cluster.Crash(index);
+  }
+  std::ofstream(cluster.FolderOf(0) + "/formation", std::ios::binary)
+      << 'A' << consensus::EncodeMembership(membership);
+  cluster.Options(0).join = true;
+  cluster.StartAll();
+  CHECK(VotersAt(cluster, 1) == std::set<std::string>{"c0", "c1", "c2"});
+}
+
 }  // namespace
 }  // namespace masticrill::control
