--- a/test/soak/fault_plan.cc
+++ b/test/soak/fault_plan.cc
@@ -161,7 +161,8 @@
   this->DrawSeeds();
 }
 
-/// The writes fail when a term or a snapshot is stored, so a new term is brought about.
+/// Only a new term or a snapshot is written through a temporary file, so the other hosts are frozen
+/// until an election begins.
 void FaultPlan::BlockDisk(Host& host) {
   const Duration span = this->Between(2000, 4000);
   this->fleet.BlockDisk(host, true);
@@ -176,7 +177,7 @@
 }
 
 /// All processes of the group end at once and are back within a second, with their disks. A host
-/// that had not caught up begins anew, with the whole group.
+/// that had not caught up yet stays lost until the whole group has recovered.
 void FaultPlan::DrawGroupFault() {
   this->timeline.Add("all control hosts end");
   const bool with_entries = this->random.Below(2) == 0;
--- a/test/soak/fleet.h
+++ b/test/soak/fleet.h
@@ -1,15 +1,12 @@
 #ifndef MASTICRILL_SOAK_FLEET_H_
 #define MASTICRILL_SOAK_FLEET_H_
 
-#include <Poco/TemporaryFile.h>
-
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "masticrill/common/random.h"
 #include "soak/fault_proxy.h"
 #include "soak/program.h"
 #include "soak/timeline.h"
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -16,13 +16,22 @@
 
 std::string Name(const HostAddresses& host) { return "host " + std::to_string(host.number); }
 
+/// How many hosts a fleet has at its first start.
+struct FleetSize {
+  explicit FleetSize(Random& random) : observers(2 + random.Below(2)), disks(3 + random.Below(3)) {}
+
+  std::size_t observers;
+  std::size_t disks;
+};
+
 class SoakRun {
  public:
   SoakRun(std::uint64_t seed, const std::string& folder)
       : random(seed),
+        size(this->random),
         upstreams(kUpstreams),
-        fleet(folder, this->upstreams.ListAddress(), 3 + this->random.Below(3),
-              2 + this->random.Below(2), this->timeline),
+        fleet(folder, this->upstreams.ListAddress(), this->size.disks, this->size.observers,
+              this->timeline),
         plan(seed, this->fleet, this->upstreams, this->calm, this->timeline),
         operators(this->fleet, this->acknowledged, this->timeline),
         seed(seed) {}
@@ -170,6 +179,7 @@
 
   Timeline timeline;
   Random random;
+  FleetSize size;
   Acknowledged acknowledged;
   Calm calm{this->timeline.Begin()};
   Upstreams upstreams;
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -1,8 +1,6 @@
 #ifndef MASTICRILL_SOAK_SOAK_RUN_H_
 #define MASTICRILL_SOAK_SOAK_RUN_H_
 
-#include <Poco/TemporaryFile.h>
-
 #include <cstdint>
 #include <string>
 #include <vector>
