Start a stopped replica anew after any refused write, but not after a failed sync

Cause: the restriction to full disks of left out disks that refuse writes for another reason; what makes a restart unsafe is a failed sync alone, after which data that can be read may never become durable.

Change: the storage notes whether a sync has failed, and NeedsRestart asks for that.

--- a/include/masticrill/storage/file_log_storage.h
+++ b/include/masticrill/storage/file_log_storage.h
@@ -1,6 +1,7 @@
 #ifndef MASTICRILL_STORAGE_FILE_LOG_STORAGE_H_
 #define MASTICRILL_STORAGE_FILE_LOG_STORAGE_H_
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -59,6 +60,9 @@
 
   /// The bytes written to the log by this object, including the headers of the records.
   std::uint64_t LogBytesWritten() const { return this->log_bytes_written; }
+  /// Whether a sync has failed: data that can still be read may then never become durable. May be
+  /// called by any thread.
+  bool SyncFailed() const { return this->sync_failed; }
 
  private:
   struct Segment {
@@ -71,6 +75,7 @@
   std::string Path(std::string_view name) const;
   std::string SegmentPath(std::uint64_t number) const;
   Result<void> CheckErrno(Errno error, std::string_view action);
+  Result<void> CheckSync(Errno error, std::string_view action);
   Result<void> CheckUsable() const;
   Result<void> FailCorrupt(const std::string& name, std::string_view fault);
   Result<void> ReplaceFile(std::string_view name, std::string_view content);
@@ -87,6 +92,7 @@
   Files& files;
   /// The first error. Every later call returns it.
   std::optional<Error> failure;
+  std::atomic<bool> sync_failed = false;
   std::deque<Segment> segments;
   /// The last segment, open for appending.
   std::optional<FileHandle> tail_handle;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -274,8 +274,7 @@
 bool ControlServer::IsRetired() const { return this->state->joiner->IsRetired(); }
 
 bool ControlServer::NeedsRestart() const {
-  const std::optional<Error> stopped = this->state->replica->Status().stopped;
-  return stopped && stopped->kind == ErrorKind::kStorageFull &&
+  return this->state->replica->Status().stopped && !this->state->replica->SyncFailed() &&
          TakesWrites(this->state->options.data_folder);
 }
 
--- a/test/storage/file_log_storage_test.cc
+++ b/test/storage/file_log_storage_test.cc
@@ -133,6 +133,7 @@
     }
     REQUIRE(error);
     CHECK(error->kind == row.kind);
+    CHECK(storage.SyncFailed() == (row.call == 2));
     CHECK(error->message.find(row.remedy) != std::string::npos);
     // The disk works again, but its content is unknown.
     CHECK(ErrorOf([&] { return storage.Append(Commands(1, 2, 1)); }) == error);
