--- a/src/control/group_joiner.cc
+++ b/src/control/group_joiner.cc
@@ -85,8 +85,12 @@
                                    net::MemberRequest{net::MemberAction::kJoin, this->options.node,
                                                       this->options.rpc_address},
                                    kCallTimeout));
-        kLog.Info("The leader accepted the join request of this replica.",
-                  {{"asked", host}, {"answer", reply.message}});
+        // A member that asked because it knows no leader gets the same answer each time.
+        if (this->last_answer != reply.message) {
+          this->last_answer = reply.message;
+          kLog.Info("The leader accepted the join request of this replica.",
+                    {{"asked", host}, {"answer", reply.message}});
+        }
         this->report.Accept();
         return true;
       },
--- a/src/control/group_joiner.h
+++ b/src/control/group_joiner.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <set>
+#include <string>
 
 #include "control/address_book.h"
 #include "control/group_formation.h"
@@ -47,6 +48,8 @@
   /// When a leader was last known; the start of the thread before that.
   TimePoint led_at = this->clock.Now();
   JoinReport report;
+  /// The answer to the last accepted request. Used only by the thread.
+  std::string last_answer;
   PeriodicThread thread;
 };
 
