--- a/test/fakes/raw_upstream.h
+++ b/test/fakes/raw_upstream.h
@@ -8,11 +8,11 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <list>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
-#include <vector>
 
 #include "masticrill/net/socket_stream.h"
 
@@ -52,8 +52,8 @@
   ~RawUpstream() {
     this->stopped = true;
     this->acceptor.join();
-    for (std::thread& thread : this->threads) {
-      thread.join();
+    for (Connection& connection : this->connections) {
+      connection.thread.join();
     }
   }
   RawUpstream(const RawUpstream&) = delete;
@@ -64,15 +64,35 @@
   int Calls() const { return this->calls; }
 
  private:
+  struct Connection {
+    std::thread thread;
+    std::atomic<bool> ended = false;
+  };
+
   void Accept() {
     while (!this->stopped) {
       if (this->listener.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
-        this->threads.emplace_back(
-            [this, socket = this->listener.acceptConnection()] { this->Serve(socket); });
+        this->JoinEnded();
+        Connection& connection = this->connections.emplace_back();
+        connection.thread =
+            std::thread([this, &connection, socket = this->listener.acceptConnection()] {
+              this->Serve(socket);
+              connection.ended = true;
+            });
       }
     }
   }
 
+  /// Frees the stacks of connections that have ended, of which a long test has thousands.
+  void JoinEnded() {
+    this->connections.remove_if([](Connection& connection) {
+      if (connection.ended) {
+        connection.thread.join();
+      }
+      return connection.ended.load();
+    });
+  }
+
   void Serve(const Poco::Net::StreamSocket& accepted) {
     net::SocketStream socket(accepted);
     const TimePoint deadline = SystemClock().Now() + seconds(10);
@@ -104,7 +124,7 @@
   std::atomic<bool> stopped = false;
   std::atomic<int> calls = 0;
   std::thread acceptor;
-  std::vector<std::thread> threads;
+  std::list<Connection> connections;
 };
 
 }  // namespace masticrill::fakes
