Block prompt parts under which upstreams end, on the joint evidence of all entries

Cause: an entry took a connection that its upstream ended for a fault of the upstream. It handed the same request to up to two more upstreams, and nothing joined what different requests had in common; each entry saw one or two of six to ten broken attempts. Class: a request that causes the failure is retried as if it were its victim.

Entries now report the starts that were lost (and answers that they discarded just before) with their lease requests; control hosts ask all entries whether requests with the suspect parts survive elsewhere, and the leader commits the part that explains the ends to the configuration as a prompt block, with its reason. Entries refuse requests with a blocked part as not run (503, prompt_blocked), do not retry lost requests with a suspect part, and judge for themselves only while they hear no control host. Operators see blocks and lift them: GET and DELETE /v1/prompt-blocks, or a patch.

--- a/include/masticrill/common/name.h
+++ b/include/masticrill/common/name.h
@@ -48,6 +48,8 @@
 /// One hand-over of a request to one upstream; doubles as the token that can be fenced.
 using AttemptId = Name<struct AttemptTag>;
 using SessionId = Name<struct SessionTag>;
+/// A part of a prompt. Prompts that begin with the same parts share them.
+using PromptPartId = Name<struct PromptPartTag>;
 /// The caller's Idempotency-Key, unique within a team.
 using IdempotencyKey = Name<struct IdempotencyKeyTag>;
 
--- a/include/masticrill/common/refusal.h
+++ b/include/masticrill/common/refusal.h
@@ -32,6 +32,7 @@
   kControlUnavailable,  // The control replicas cannot record the request.
   kCancelled,           // The caller went away.
   kInternal,            // A defect.
+  kPromptBlocked,       // Upstreams end under a part of the prompt.
 };
 
 inline constexpr std::array kAllRefusalKinds = {
@@ -45,6 +46,7 @@
     RefusalKind::kUpstreamFailed,   RefusalKind::kAnswerInterrupted,
     RefusalKind::kOutcomeUnknown,   RefusalKind::kControlUnavailable,
     RefusalKind::kCancelled,        RefusalKind::kInternal,
+    RefusalKind::kPromptBlocked,
 };
 
 /// Whether the request ran. kNotRun is claimed only when it was never handed to an upstream, or
--- a/include/masticrill/config/configuration.h
+++ b/include/masticrill/config/configuration.h
@@ -169,6 +169,19 @@
   friend bool operator==(const ServiceRollout&, const ServiceRollout&) = default;
 };
 
+enum class PromptBlockState { kBlocked, kLifted };
+
+/// A verdict on a part of prompts. Requests with a blocked part reach no upstream.
+struct PromptBlock {
+  PromptBlockState state = PromptBlockState::kBlocked;
+  /// When the state was set, in milliseconds since the Unix epoch.
+  WallTimeMs decided_at = 0;
+  /// Why, for readers.
+  std::string reason;
+
+  friend bool operator==(const PromptBlock&, const PromptBlock&) = default;
+};
+
 /// Everything that operators set. A value never changes after it was made.
 struct Configuration {
   Number number = 0;
@@ -182,6 +195,7 @@
   Rating rating;
   Declaration declaration;
   std::map<ServiceId, ServiceRollout> service_rollouts;
+  std::map<PromptPartId, PromptBlock> prompt_blocks;
 
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -41,6 +41,9 @@
   milliseconds retry_after{400};
   /// The Retry-After of a request that was refused without a lease, a configuration or an upstream.
   milliseconds retry_after_no_lease{600};
+  /// The Retry-After of a request with a blocked part of its prompt. A block lasts until an
+  /// operator lifts it.
+  milliseconds retry_after_blocked{60'000};
   /// The Retry-After of a request that a stopping node refused; the caller then reaches another
   /// one.
   milliseconds retry_after_stopping{20};
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -9,6 +9,7 @@
 #include "masticrill/common/name.h"
 #include "masticrill/config/delta.h"
 #include "masticrill/net/handshake_messages.h"
+#include "masticrill/routing/prompt_report.h"
 #include "masticrill/routing/rollout_evaluation.h"
 
 namespace masticrill::net {
@@ -84,11 +85,13 @@
   std::string load_address = {};
   /// The version of the shared list that the node has.
   std::uint64_t known_list_version = 0;
+  routing::PromptReport prompts = {};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->known_number, this->address,
-            this->started_at_ms, this->rollouts, this->load_address, this->known_list_version);
+            this->started_at_ms, this->rollouts, this->load_address, this->known_list_version,
+            this->prompts);
   }
 };
 
@@ -109,11 +112,14 @@
   /// Where the entries that hold leases take load notices.
   std::vector<std::string> load_addresses = {};
   SharedList list = {};
+  /// The prompt parts that the next report shall answer for.
+  std::vector<PromptPartId> suspect_parts = {};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->granted, this->length_ms, this->number, this->delta, this->message,
-            this->entry_count, this->control_hosts, this->load_addresses, this->list);
+            this->entry_count, this->control_hosts, this->load_addresses, this->list,
+            this->suspect_parts);
   }
 };
 
@@ -216,6 +222,7 @@
   /// On the roll-outs that run.
   std::vector<RolloutReport> rollouts = {};
   std::string load_address = {};
+  routing::PromptReport prompts = {};
 
   friend bool operator==(const NodeReport&, const NodeReport&) = default;
 
@@ -223,7 +230,7 @@
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->started_at_ms, this->address,
             this->known_number, this->age_ms, this->control_host, this->rollouts,
-            this->load_address);
+            this->load_address, this->prompts);
   }
 };
 
--- a/include/masticrill/node/lease_client.h
+++ b/include/masticrill/node/lease_client.h
@@ -24,6 +24,8 @@
   std::uint32_t entry_count = 1;
   /// Position of this entry's load address among theirs, from 0; 0 when it has none.
   std::uint32_t entry_rank = 0;
+  /// The prompt parts that the next report shall answer for.
+  std::vector<PromptPartId> suspect_parts = {};
 };
 
 /// Renews a node's configuration lease: a thread of its own requests the lease from the control
@@ -42,6 +44,8 @@
     Duration renew_interval = config::kLeaseRenewInterval;
     /// Returns the roll-out evidence to send with a request.
     std::function<std::vector<net::RolloutReport>()> report_rollouts = {};
+    /// Returns the evidence on prompt parts to send with a request.
+    std::function<routing::PromptReport()> report_prompts = {};
     /// Address at which the node receives load notices; empty for none.
     std::string load_address = {};
     /// Called with the shared list of each granted reply that has one; the bytes are empty when the
@@ -64,6 +68,9 @@
   /// Addresses at which entries receive load notices, as of the last granted lease.
   std::vector<std::string> LoadAddresses() const;
 
+  /// Renews the lease shortly instead of at the next interval, to send a report with it.
+  void RenewSoon();
+
   /// Ends the thread. The lease is not released; it expires.
   void Stop();
 
@@ -72,6 +79,7 @@
   void Renew();
   std::uint32_t RankOfThisEntry(std::vector<std::string> addresses) const;
   void LogRefusal(const std::string& reason);
+  void AnswerSoon(const std::vector<PromptPartId>& parts);
   bool ApplyReply(const net::LeaseReply& reply, config::LeaseRequestId request);
 
   std::shared_ptr<ControlLink> link;
@@ -87,6 +95,8 @@
   std::condition_variable stopping;
   bool stopped = false;
   bool was_granted = false;
+  bool renew_soon = false;
+  std::vector<PromptPartId> suspect_parts;
   config::LeaseHolder holder;
   config::NumberedDocument document;
   /// Reason why the last request was not granted; empty when it was. Used only by the client's
--- a/src/common/refusal.cc
+++ b/src/common/refusal.cc
@@ -32,6 +32,8 @@
       return {"overloaded", 503};
     case RefusalKind::kNoUpstream:
       return {"no_upstream", 503};
+    case RefusalKind::kPromptBlocked:
+      return {"prompt_blocked", 503};
     case RefusalKind::kNoLease:
       return {"no_lease", 503};
     case RefusalKind::kStopping:
--- a/src/config/document.cc
+++ b/src/config/document.cc
@@ -116,6 +116,12 @@
           {"moved_at", rollout.moved_at}};
 }
 
+Json ToJson(const PromptBlock& block) {
+  return {{"state", block.state == PromptBlockState::kBlocked ? "blocked" : "lifted"},
+          {"decided_at", block.decided_at},
+          {"reason", block.reason}};
+}
+
 template <typename Id, typename Value>
 Json ToObject(const std::map<Id, Value>& values) {
   Json object = Json::object();
@@ -173,7 +179,8 @@
                          {"operators", ToObject(configuration.operators)},
                          {"rating", ToJson(configuration.rating)},
                          {"declaration", ToJson(configuration.declaration)},
-                         {"service_rollouts", ToObject(configuration.service_rollouts)}};
+                         {"service_rollouts", ToObject(configuration.service_rollouts)},
+                         {"prompt_blocks", ToObject(configuration.prompt_blocks)}};
   return document.dump();
 }
 
--- a/src/config/document_parser.cc
+++ b/src/config/document_parser.cc
@@ -229,6 +229,15 @@
   return rollout;
 }
 
+PromptBlock ReadPromptBlock(const JsonNode& node) {
+  node.Only({"state", "decided_at", "reason"});
+  PromptBlock block;
+  block.state = static_cast<PromptBlockState>(node.Choice("state", {"blocked", "lifted"}));
+  block.decided_at = static_cast<WallTimeMs>(node.Integer("decided_at", 0, {0, kMaxWallTimeMs}));
+  block.reason = node.Text("reason");
+  return block;
+}
+
 /// Reads an object that maps names to values of one kind.
 template <typename Id, typename Value>
 void ReadAll(const JsonNode& root, const char* name, Value (*read)(const JsonNode&),
@@ -245,7 +254,7 @@
   FaultSink faults;
   const JsonNode root(document, "$", faults);
   root.Only({"teams", "models", "cascades", "services", "failure_domains", "upstreams", "operators",
-             "rating", "declaration", "service_rollouts"});
+             "rating", "declaration", "service_rollouts", "prompt_blocks"});
   Configuration configuration;
   configuration.number = number;
   ReadAll(root, "teams", ReadTeam, configuration.teams);
@@ -258,6 +267,7 @@
   configuration.rating = ReadRating(root.Object("rating"));
   configuration.declaration = ReadDeclaration(root.Object("declaration"));
   ReadAll(root, "service_rollouts", ReadServiceRollout, configuration.service_rollouts);
+  ReadAll(root, "prompt_blocks", ReadPromptBlock, configuration.prompt_blocks);
   if (!faults.Empty()) {
     return Fail(ErrorKind::kInvalidConfiguration, faults.First());
   }
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -19,6 +19,7 @@
 #include "control/operator_api.h"
 #include "control/outcome_writer.h"
 #include "control/peer_transport.h"
+#include "control/prompt_block_controller.h"
 #include "control/proposer.h"
 #include "control/replica_runner.h"
 #include "control/rollout_controller.h"
@@ -77,6 +78,7 @@
   std::unique_ptr<ReplicatedOperatorAccess> access;
   std::unique_ptr<Upkeep> upkeep;
   std::unique_ptr<RolloutController> rollouts;
+  std::unique_ptr<PromptBlockController> prompt_blocks;
   std::unique_ptr<GroupJoiner> joiner;
   std::unique_ptr<RpcService> rpc;
   std::unique_ptr<OperatorApi> api;
@@ -112,6 +114,8 @@
                                *this->members, *this->fleet, this->addresses, *this->leases);
   this->rollouts = std::make_unique<RolloutController>(*this->replica, this->replicated,
                                                        *this->fleet, *this->access);
+  this->prompt_blocks = std::make_unique<PromptBlockController>(
+      *this->replica, this->replicated, *this->fleet, *this->leases, *this->access);
   this->joiner = std::make_unique<GroupJoiner>(this->options, *this->replica, this->addresses,
                                                *this->formation);
   return this->StartServers();
@@ -202,6 +206,9 @@
   if (this->rollouts != nullptr) {
     this->rollouts->Stop();
   }
+  if (this->prompt_blocks != nullptr) {
+    this->prompt_blocks->Stop();
+  }
   if (this->upkeep != nullptr) {
     this->upkeep->Stop();
   }
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -61,7 +61,17 @@
     client->Finish(*exchange);
     reports.insert(reports.end(), remote.begin(), remote.end());
   }
-  return MergeReports(reports);
+  reports = MergeReports(reports);
+  const std::scoped_lock lock(this->mutex);
+  this->latest = reports;
+  return reports;
+}
+
+std::vector<net::NodeReport> FleetView::LatestReports() {
+  std::vector<net::NodeReport> reports = this->nodes.Reports(this->clock.Now());
+  const std::scoped_lock lock(this->mutex);
+  reports.insert(reports.end(), this->latest.begin(), this->latest.end());
+  return reports;
 }
 
 }  // namespace masticrill::control
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -2,6 +2,7 @@
 #define MASTICRILL_CONTROL_FLEET_VIEW_H_
 
 #include <atomic>
+#include <mutex>
 #include <vector>
 
 #include "control/address_book.h"
@@ -19,6 +20,8 @@
   /// Takes at most kReplyTimeout, also when many hosts are down; those that do not reply are left
   /// out.
   std::vector<net::NodeReport> CollectReports();
+  /// The result of the last CollectReports, with the current reports of this host.
+  std::vector<net::NodeReport> LatestReports();
 
  private:
   NodeRegistry& nodes;
@@ -26,6 +29,8 @@
   SystemClock clock;
   /// Number of calls of CollectReports.
   std::atomic<std::size_t> rounds = 0;
+  std::mutex mutex;
+  std::vector<net::NodeReport> latest;
 };
 
 }  // namespace masticrill::control
--- a/src/control/lease_service.cc
+++ b/src/control/lease_service.cc
@@ -1,6 +1,7 @@
 #include "control/lease_service.h"
 
 #include <string>
+#include <utility>
 
 namespace masticrill::control {
 namespace {
@@ -83,6 +84,11 @@
   this->fleet = std::move(info);
 }
 
+void LeaseService::SetSuspectParts(std::vector<PromptPartId> parts) {
+  const std::scoped_lock lock(this->fleet_mutex);
+  this->suspect_parts = std::move(parts);
+}
+
 net::LeaseReply LeaseService::Refuse(LeaseDecision decision) const {
   return {.granted = false,
           .length_ms = 0,
@@ -92,7 +98,8 @@
           .entry_count = 0,
           .control_hosts = {},
           .load_addresses = {},
-          .list = {}};
+          .list = {},
+          .suspect_parts = {}};
 }
 
 net::LeaseReply LeaseService::Decide(const net::LeaseRequest& request,
@@ -123,12 +130,14 @@
                         .entry_count = 0,
                         .control_hosts = {},
                         .load_addresses = {},
-                        .list = {}};
+                        .list = {},
+                        .suspect_parts = {}};
   {
     const std::scoped_lock lock(this->fleet_mutex);
     reply.entry_count = this->fleet.entry_count;
     reply.control_hosts = this->fleet.control_hosts;
     reply.load_addresses = this->fleet.load_addresses;
+    reply.suspect_parts = this->suspect_parts;
   }
   reply.list = this->lists.Read(request.known_list_version);
   if (request.known_number != number) {
--- a/src/control/lease_service.h
+++ b/src/control/lease_service.h
@@ -59,6 +59,9 @@
   /// Sets the fleet information of the following replies.
   void SetFleet(FleetInfo info);
 
+  /// Sets the prompt parts that the following replies ask entries to answer for.
+  void SetSuspectParts(std::vector<PromptPartId> parts);
+
   void StopGranting() { this->stopping = true; }
   /// Ends the evidence thread. Pending reads may still call back on the replica's thread.
   void Stop() { this->evidence_thread.Stop(); }
@@ -88,6 +91,7 @@
   EnumCounter<LeaseDecision, kAllLeaseDecisions.size()> decisions{kAllLeaseDecisions};
   mutable std::mutex fleet_mutex;
   FleetInfo fleet;
+  std::vector<PromptPartId> suspect_parts;
   std::shared_ptr<Evidence> evidence = std::make_shared<Evidence>();
   PeriodicThread evidence_thread;
 };
--- a/src/control/node_registry.cc
+++ b/src/control/node_registry.cc
@@ -45,7 +45,8 @@
                          .age_ms = duration_cast<milliseconds>(now - last.received_at).count(),
                          .control_host = this->control_host,
                          .rollouts = last.request.rollouts,
-                         .load_address = last.request.load_address});
+                         .load_address = last.request.load_address,
+                         .prompts = last.request.prompts});
     }
   }
   return reports;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -18,8 +18,6 @@
 /// Time after the request's deadline in which the final answer may still be written to the caller.
 constexpr Duration kFinalAnswerGrace = milliseconds(250);
 constexpr int kFirstServerError = 500;
-/// An answer that breaks this early may have ended its upstream.
-constexpr Duration kEarlyBreak = seconds(1);
 
 bool IsSuccess(int status) {
   constexpr int kFirstSuccess = 200;
@@ -46,12 +44,11 @@
   return prompt.size() < 2 ? "" : prompt[prompt.size() - 2].id;
 }
 
-/// The ids of the parts that other requests may share, for logs.
-std::string SharedPartsText(const std::vector<PromptPart>& prompt) {
+std::string ToText(const std::vector<PromptPartId>& parts) {
   constexpr std::size_t kMaxBytes = 200;
   std::string text;
-  for (std::size_t index = 0; index + 1 < prompt.size() && text.size() < kMaxBytes; ++index) {
-    text += (text.empty() ? "" : ",") + prompt[index].id;
+  for (std::size_t index = 0; index < parts.size() && text.size() < kMaxBytes; ++index) {
+    text += (index == 0 ? "" : ",") + parts[index].Value();
   }
   return text.substr(0, kMaxBytes);
 }
@@ -95,6 +92,7 @@
 void CallRunner::Run() {
   ++this->context.metrics.received;
   this->metadata = this->context.protocol.read_call(this->request);
+  this->shared_parts = SharedPartsOf(this->metadata.prompt);
   if (const std::optional<Refusal> refusal = this->Admit()) {
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
     return;
@@ -337,10 +335,18 @@
                  "The deadline of the request has passed.", this->context.settings.retry_after);
     return NextStep::kStop;
   }
+  if (const auto part = this->context.prompts.FindBlocked(this->shared_parts, this->clock.Now())) {
+    this->Refuse(RefusalKind::kPromptBlocked,
+                 "Upstreams ended under requests with the prompt part " + part->Value() +
+                     ". Leave it out, or ask an operator to lift the block.",
+                 this->context.settings.retry_after_blocked);
+    return NextStep::kStop;
+  }
   const std::optional<UpstreamPick> pick = this->FindUpstream();
   if (!pick) {
     return NextStep::kStop;
   }
+  this->survival_recorded = false;
   this->last_pick = *pick;
   UpstreamAttempt attempt(*pick, this->context.protocol, this->context.pool,
                           this->context.settings);
@@ -398,10 +404,20 @@
       break;
   }
   this->may_have_run = true;
-  if (end == AttemptEnd::kBroken && attempt.AnswerAge(this->clock.Now()) < kEarlyBreak) {
-    ++this->context.metrics.early_breaks;
-  }
   this->RecordVerdict(attempt, false);
+  if (end == AttemptEnd::kBroken && attempt.ConnectionLost()) {
+    this->RecordLostStart(attempt);
+    if (!this->context.prompts.MayRetry(this->metadata.request, this->shared_parts)) {
+      this->granted_retry.reset();
+      kLog.Info("Not retried, since upstreams may end under the prompt.",
+                {{"request", this->metadata.request},
+                 {"upstream", attempt.Upstream().id},
+                 {"prompt", ToText(this->shared_parts)}});
+      this->Refuse(RefusalKind::kUpstreamFailed,
+                   "The upstream failed, and others may fail under the same prompt.");
+      return NextStep::kStop;
+    }
+  }
   return this->RetryOrRefuse(attempt, end, RefusalKind::kUpstreamFailed);
 }
 
@@ -419,7 +435,7 @@
                                    {"end", ToString(end)},
                                    {"status", attempt.Head().status},
                                    {"answer_age_ms", AgeMs(attempt, this->clock.Now())},
-                                   {"prompt", SharedPartsText(this->metadata.prompt)},
+                                   {"prompt", ToText(this->shared_parts)},
                                    {"attempt", this->attempts},
                                    {"again", decision.retry},
                                    {"reason", routing::ToString(decision.reason)}});
@@ -449,6 +465,28 @@
                              upstream.failure_domain, result);
 }
 
+void CallRunner::RecordLostStart(const UpstreamAttempt& attempt) {
+  const TimePoint now = this->clock.Now();
+  const std::optional<Duration> age =
+      attempt.AnswerBegun() ? std::optional(attempt.AnswerAge(now)) : std::nullopt;
+  if (!age || *age < this->context.prompts.Settings().survival_time) {
+    ++this->context.metrics.early_breaks;
+  }
+  this->context.prompts.OnLost(attempt.Upstream(), this->metadata.request, this->shared_parts, age,
+                               now);
+}
+
+void CallRunner::RecordSurvival(const UpstreamAttempt& attempt, bool is_complete) {
+  const TimePoint now = this->clock.Now();
+  const Duration age = attempt.AnswerAge(now);
+  if (this->survival_recorded || this->shared_parts.empty() ||
+      (!is_complete && age < this->context.prompts.Settings().survival_time)) {
+    return;
+  }
+  this->survival_recorded = true;
+  this->context.prompts.OnSurvived(this->shared_parts, now - age, now);
+}
+
 /// Records the time to the start of an answer as evidence on its version.
 void CallRunner::RecordFirstToken(const UpstreamAttempt& attempt) {
   const ListedUpstream& upstream = attempt.Upstream();
@@ -488,6 +526,8 @@
   }
   if (IsSuccess(status) && !this->caller.Begun() && this->ShouldEscalate(attempt)) {
     attempt.SetVerdict(AttemptVerdict::kSuccess);
+    this->context.prompts.OnDiscarded(attempt.Upstream(), this->metadata.request,
+                                      this->shared_parts, this->clock.Now());
     ++this->context.metrics.escalated;
     this->model_index = this->route->models.size() - 1;
     this->tried.clear();
@@ -540,6 +580,7 @@
   if (head.status < kFirstServerError) {
     this->RecordVerdict(attempt, true);
   }
+  this->RecordSurvival(attempt, true);
   this->first_byte = this->clock.Now() - this->arrived_at;
   this->caller.SendWhole(head.status, net::WithoutConnectionFields(head.headers), answer,
                          this->deadline + kFinalAnswerGrace);
@@ -569,10 +610,12 @@
       }
     }
     if (end == AttemptEnd::kAnswered) {
+      this->RecordSurvival(attempt, false);
       continue;
     }
     if (end == AttemptEnd::kFinished && this->events.Pending().empty() && this->caller.Begun()) {
       this->RecordVerdict(attempt, true);
+      this->RecordSurvival(attempt, true);
       this->context.pace.Add(this->service, this->events.EventCount(),
                              this->clock.Now() - this->stream_begun_at);
       this->caller.End(this->deadline + kFinalAnswerGrace);
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -21,6 +21,7 @@
 #include "masticrill/gateway/event_splitter.h"
 #include "masticrill/gateway/gateway_settings.h"
 #include "masticrill/gateway/gateway_view.h"
+#include "masticrill/gateway/prompt_guard.h"
 #include "masticrill/gateway/stream_pace.h"
 #include "masticrill/gateway/upstream_pool.h"
 #include "masticrill/routing/evidence_table.h"
@@ -48,6 +49,7 @@
   UpstreamPool& pool;
   RetryBudgets& budgets;
   routing::EvidenceTable& evidence;
+  PromptGuard& prompts;
   GatewayMetrics& metrics;
   StreamPace& pace;
   AnswerLateness& lateness;
@@ -99,6 +101,10 @@
   NextStep RetryOrRefuse(const UpstreamAttempt& attempt, AttemptEnd end, RefusalKind kind);
   void RecordVerdict(UpstreamAttempt& attempt, bool good);
   void RecordFirstToken(const UpstreamAttempt& attempt);
+  /// Records what a lost connection says about the parts of the prompt.
+  void RecordLostStart(const UpstreamAttempt& attempt);
+  /// Records, once, that the upstream survives the request.
+  void RecordSurvival(const UpstreamAttempt& attempt, bool is_complete);
   void Refuse(RefusalKind kind, std::string message,
               std::optional<milliseconds> retry_after = std::nullopt);
   std::string LastModel() const;
@@ -120,6 +126,9 @@
   KeyOwner owner;
   ServiceId service;
   std::size_t model_index = 0;
+  /// The parts of the prompt that other requests may share.
+  std::vector<PromptPartId> shared_parts;
+  bool survival_recorded = false;
   std::set<UpstreamId> tried;
   std::uint32_t attempts = 0;
   std::uint32_t connect_failures = 0;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -68,6 +68,16 @@
   Serve serve;
 };
 
+std::set<PromptPartId> BlockedParts(const config::Configuration& configuration) {
+  std::set<PromptPartId> parts;
+  for (const auto& [part, block] : configuration.prompt_blocks) {
+    if (block.state == config::PromptBlockState::kBlocked) {
+      parts.insert(part);
+    }
+  }
+  return parts;
+}
+
 }  // namespace
 
 struct GatewayServer::State {
@@ -79,11 +89,13 @@
                           .rollout = this->options.rollout},
              Random::FromSystem()),
         budgets(this->options.call),
+        prompts([this] { this->leases->RenewSoon(); }),
         call_context{this->protocol,
                      this->options.call,
                      this->pool,
                      this->budgets,
                      this->evidence,
+                     this->prompts,
                      this->metrics,
                      this->pace,
                      this->lateness,
@@ -116,6 +128,7 @@
   UpstreamPool pool;
   RetryBudgets budgets;
   routing::EvidenceTable evidence;
+  PromptGuard prompts;
   GatewayMetrics metrics;
   StreamPace pace;
   AnswerLateness lateness;
@@ -149,16 +162,19 @@
                                           net::ChannelLimits{.connect_timeout = kConnectTimeout});
   this->list_updater = std::make_unique<UpstreamListUpdater>(std::move(read_list), this->pool,
                                                              this->options.list_interval);
-  node::LeaseClient::Options extras{this->options.renew_interval,
-                                    [this] { return this->ReportRollouts(); },
-                                    this->options.load_address,
-                                    [this](const std::string& bytes, Duration age) {
-                                      this->list_updater->OnSharedList(bytes, age);
-                                    }};
+  node::LeaseClient::Options extras;
+  extras.renew_interval = this->options.renew_interval;
+  extras.report_rollouts = [this] { return this->ReportRollouts(); };
+  extras.report_prompts = [this] { return this->prompts.Report(this->clock.Now()); };
+  extras.load_address = this->options.load_address;
+  extras.on_list = [this](const std::string& bytes, Duration age) {
+    this->list_updater->OnSharedList(bytes, age);
+  };
   this->leases = std::make_unique<node::LeaseClient>(
       this->link, credentials.self, this->options.advertised_address,
       [this](const config::ConfigurationPtr& configuration, const node::LeaseUpdate& news) {
         this->pool.SetEntryPosition({news.entry_rank, news.entry_count});
+        this->prompts.OnLease(BlockedParts(*configuration), news.suspect_parts, this->clock.Now());
         this->OnLease(configuration);
       },
       std::move(extras));
@@ -344,6 +360,9 @@
   writer.Gauge("masticrill_gateway_upstreams",
                "Upstreams that are listed or have requests in flight.",
                static_cast<double>(this->pool.UpstreamCount()));
+  writer.Gauge("masticrill_gateway_blocked_prompt_parts",
+               "Parts of prompts with which requests are refused.",
+               static_cast<double>(this->prompts.BlockedCount(this->clock.Now())));
   writer.Counter("masticrill_log_lines_dropped_total",
                  "Log lines that were dropped because their reader was too slow.",
                  DroppedLogLines());
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -160,6 +160,7 @@
       return AttemptEnd::kAnswered;
     }
     if (end != net::IoEnd::kTimeout) {
+      this->connection_lost = end == net::IoEnd::kClosed || end == net::IoEnd::kReset;
       return end == net::IoEnd::kClosed ? AttemptEnd::kFinished : ToAttemptEnd(end);
     }
     if (const std::optional<AttemptEnd> expired = this->CheckTimeouts(times, now)) {
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -70,6 +70,8 @@
   const net::AnswerHead& Head() const { return this->head; }
   const AnswerMetadata& Metadata() const { return this->metadata; }
   const ListedUpstream& Upstream() const { return this->upstream; }
+  /// Whether the upstream ended the connection, or it was reset, after the hand-over.
+  bool ConnectionLost() const { return this->connection_lost; }
   bool AnswerBegun() const { return this->answer_begun; }
   /// How long ago the head of the answer arrived; zero before that.
   Duration AnswerAge(TimePoint now) const {
@@ -104,6 +106,7 @@
   AttemptVerdict verdict = AttemptVerdict::kNeutral;
   bool handed_over = false;
   bool answer_begun = false;
+  bool connection_lost = false;
   TimePoint started_at;
   TimePoint answered_at;
   TimePoint last_received_at;
--- a/src/node/lease_client.cc
+++ b/src/node/lease_client.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kCallTimeout{800};
 /// Interval after a refusal or a failure; shorter than the renewal interval.
 constexpr milliseconds kRetryInterval{100};
+/// Least time between two requests.
+constexpr milliseconds kMinInterval{100};
 
 }  // namespace
 
@@ -44,6 +46,14 @@
   }
 }
 
+void LeaseClient::RenewSoon() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->renew_soon = true;
+  }
+  this->stopping.notify_all();
+}
+
 config::LeaseCheck LeaseClient::Check(TimePoint now) const {
   const std::lock_guard lock(this->mutex);
   return this->holder.Check(now);
@@ -62,12 +72,16 @@
 void LeaseClient::Run() {
   std::unique_lock lock(this->mutex);
   while (!this->stopped) {
+    this->renew_soon = false;
     lock.unlock();
     this->Renew();
     lock.lock();
     const Duration pause =
         this->was_granted ? this->options.renew_interval : Duration(kRetryInterval);
-    this->stopping.wait_for(lock, pause, [this] { return this->stopped; });
+    const Duration least = std::min(pause, Duration(kMinInterval));
+    this->stopping.wait_for(lock, least, [this] { return this->stopped; });
+    this->stopping.wait_for(lock, pause - least,
+                            [this] { return this->stopped || this->renew_soon; });
   }
 }
 
@@ -84,6 +98,9 @@
   if (this->options.report_rollouts) {
     request.rollouts = this->options.report_rollouts();
   }
+  if (this->options.report_prompts) {
+    request.prompts = this->options.report_prompts();
+  }
   config::LeaseRequestId request_id = 0;
   {
     const std::lock_guard lock(this->mutex);
@@ -120,6 +137,14 @@
   return static_cast<std::uint32_t>(place - addresses.begin());
 }
 
+/// Sends the next report soon if it has to answer for other parts than the last one.
+void LeaseClient::AnswerSoon(const std::vector<PromptPartId>& parts) {
+  if (parts != this->suspect_parts) {
+    this->suspect_parts = parts;
+    this->RenewSoon();
+  }
+}
+
 bool LeaseClient::ApplyReply(const net::LeaseReply& reply, config::LeaseRequestId request) {
   if (!reply.granted) {
     this->LogRefusal(reply.message);
@@ -176,8 +201,9 @@
   }
   if (valid_until) {
     this->on_lease(current, {*valid_until, std::max<std::uint32_t>(reply.entry_count, 1),
-                             this->RankOfThisEntry(reply.load_addresses)});
+                             this->RankOfThisEntry(reply.load_addresses), reply.suspect_parts});
   }
+  this->AnswerSoon(reply.suspect_parts);
   return true;
 }
 
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -30,6 +30,11 @@
     if (const auto wait = head.Header("Wait-Ms")) {
       facts.time_left = milliseconds(std::stol(std::string(*wait)));
     }
+    if (const auto parts = head.Header("Parts")) {
+      for (std::size_t begin = 0; begin < parts->size(); begin += 2) {
+        facts.prompt.push_back({std::string(parts->substr(begin, 1)), 1});
+      }
+    }
     facts.max_output_tokens = std::stoul(std::string(head.Header("Tokens").value_or("0")));
     return facts;
   };
@@ -162,6 +167,7 @@
   gateway::StreamPace pace;
   gateway::AnswerLateness lateness;
   routing::EvidenceTable evidence;
+  gateway::PromptGuard prompts;
 
  private:
   gateway::EdgeProtocol edge = TestEdge();
@@ -172,6 +178,7 @@
                              pool,
                              budgets,
                              evidence,
+                             prompts,
                              metrics,
                              pace,
                              lateness,
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -231,6 +231,42 @@
   CHECK(BodyOf(saw).whole);
 }
 
+TEST_CASE("a request with a blocked part of its prompt reaches no upstream") {
+  RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
+  GatewayPath path(RouteOf(RouteKind::kIdempotent, 3));
+  path.SetUpstreams({upstream.Address()});
+  path.prompts.OnLease({PromptPartId("b")}, {}, SystemClock().Now());
+  const CallerSaw refused = path.Send(Post("Key: good-key\r\nParts: a,b,c\r\n"));
+  CHECK(refused.Status() == 503);
+  CHECK(refused.Has("Retry-After: 60.00\r\n"));
+  CHECK(refused.Has("\"kind\":\"prompt_blocked\""));
+  CHECK(refused.Has("\"not_run\":\"true\""));
+  CHECK(upstream.Calls() == 0);
+  // The last part is the request's own.
+  CHECK(path.Send(Post("Key: good-key\r\nParts: a,c,b\r\n")).Status() == 200);
+}
+
+TEST_CASE("a connection that the upstream ends is evidence on the parts of the prompt") {
+  RawUpstream lost([](const RawCall& call) { call.Write(kStreamHead + "5\r\nid: 1"); });
+  RawUpstream healthy([](const RawCall& call) { WriteEvents(call, 0, 2); });
+  GatewayPath path(RouteOf(RouteKind::kStream, 2));
+  path.SetUpstreams({lost.Address(), healthy.Address()});
+  CHECK(BodyOf(path.Send(Post("Key: good-key\r\nParts: a,b,c\r\n"))).whole);
+  path.prompts.OnLease({}, {PromptPartId("a")}, SystemClock().Now());
+  const routing::PromptReport report = path.prompts.Report(SystemClock().Now());
+  REQUIRE(report.lost.size() == 1);
+  CHECK(report.lost[0].answer_begun);
+  REQUIRE(report.survivals.size() == 1);
+  CHECK(report.survivals[0].age_ms >= 0);
+
+  // Bytes that are no answer come from an upstream that runs.
+  RawUpstream garbling([](const RawCall& call) { call.Write("garbage\r\n\r\n"); });
+  GatewayPath other(RouteOf(RouteKind::kStream, 2));
+  other.SetUpstreams({garbling.Address(), healthy.Address()});
+  CHECK(BodyOf(other.Send(Post("Key: good-key\r\nParts: a,b,c\r\n"))).whole);
+  CHECK(other.prompts.Report(SystemClock().Now()).lost.empty());
+}
+
 TEST_CASE("a stream that cannot be resumed does not look complete to the caller") {
   RawUpstream upstream([](const RawCall& call) { call.Write(kStreamHead + Chunk(Event(1))); });
   Route route = RouteOf(RouteKind::kStream, 3);
--- a/test/platform/operator_frontend_test.cc
+++ b/test/platform/operator_frontend_test.cc
@@ -179,6 +179,30 @@
   CHECK(sender.Send("POST", "/v1/evacuations/nowhere").status == 404);
 }
 
+TEST_CASE("an operator sees the blocked parts of prompts, and lifts each once") {
+  Operator sender;
+  CHECK(Json::parse(sender.Send("GET", "/v1/prompt-blocks").body) ==
+        Json{{"PromptBlocks", Json::array()}});
+  sender.access.document =
+      R"({"prompt_blocks":{"5c1e":{"state":"blocked","decided_at":5,"reason":"3 upstreams ended"}}})";
+  CHECK(Json::parse(sender.Send("GET", "/v1/prompt-blocks").body)["PromptBlocks"] ==
+        Json::array({{{"Part", "5c1e"},
+                      {"State", "blocked"},
+                      {"DecidedAt", 5},
+                      {"Reason", "3 upstreams ended"}}}));
+  CHECK(sender.Send("DELETE", "/v1/prompt-blocks/other").status == 404);
+  CHECK(sender.Send("DELETE", "/v1/prompt-blocks/5c1e").status == 200);
+  CHECK(sender.Send("DELETE", "/v1/prompt-blocks/5c1e").status == 200);
+  CHECK(sender.access.commits == 1);
+  CHECK(sender.access.Parsed()->prompt_blocks.at(PromptPartId("5c1e")).state ==
+        config::PromptBlockState::kLifted);
+  CHECK(sender.Send("POST", "/v1/prompt-blocks").status == 405);
+  CHECK(sender.Send("GET", "/v1/prompt-blocks/5c1e").status == 405);
+  sender.access.cut_off = true;
+  CHECK(sender.Send("GET", "/v1/prompt-blocks").status == 503);
+  CHECK(sender.Send("DELETE", "/v1/prompt-blocks/5c1e").status == 503);
+}
+
 TEST_CASE("unknown paths and methods are refused") {
   Operator sender;
   CHECK(sender.Send("GET", "/v1/other").status == 404);
--- a/test/process/prompt_part_test.cc
+++ b/test/process/prompt_part_test.cc
@@ -83,6 +83,14 @@
   }
   CHECK(fleet.BadArrivals() == arrivals);
   CHECK(fleet.Crashes() == crashes);
+
+  // The operator sees the verdict and lifts it; evidence from before does not renew it.
+  const std::string blocks = fleet.Operate({"GET", "/v1/prompt-blocks"}).body;
+  CHECK(blocks.find(kBadPart) != std::string::npos);
+  CHECK(blocks.find("upstreams ended") != std::string::npos);
+  CHECK(fleet.Operate({"DELETE", std::string("/v1/prompt-blocks/") + kBadPart}).status == 200);
+  Await("the lift of the block", [&] { return !fleet.IsBlocked(1); });
+  CHECK(fleet.BadArrivals() > arrivals);
 }
 
 }  // namespace
