--- a/test/routing/prompt_evidence_test.cc
+++ b/test/routing/prompt_evidence_test.cc
@@ -47,11 +47,10 @@
 };
 
 /// Upstreams that end one after another under different requests, each with the given parts.
-Evidence EndsUnder(const std::vector<PromptPartId>& parts, int count) {
+Evidence EndsUnder(const std::vector<PromptPartId>& parts, std::uint64_t count) {
   Evidence evidence;
-  for (int end = 0; end < count; ++end) {
-    evidence.Lost(static_cast<std::uint64_t>(end), static_cast<std::uint64_t>(100 + end), parts,
-                  4000 - 500 * end);
+  for (std::uint64_t end = 0; end < count; ++end) {
+    evidence.Lost(end, 100 + end, parts, 4000 - 500 * static_cast<std::int64_t>(end));
   }
   return evidence;
 }
