Read the request limits that upstreams state, and count the answers that state one

No code read the limit that an answer states, so nothing could tell whether one was stated. The platform's adapter decodes it into AnswerMetadata::requests_per_second, and masticrill_gateway_limited_answers_total counts it. No decision changes.

--- a/include/masticrill/gateway/edge_protocol.h
+++ b/include/masticrill/gateway/edge_protocol.h
@@ -85,6 +85,9 @@
   std::optional<LoadReport> load;
   /// How much longer the upstream is cold; absent when the answer does not state it.
   std::optional<milliseconds> cold_left;
+  /// The requests a second that the upstream takes from all entries together; absent when the
+  /// answer states no limit.
+  std::optional<double> requests_per_second;
   /// The model's confidence in its answer, from 0 to 1.
   std::optional<double> confidence;
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -361,6 +361,7 @@
                                        this->body, this->metadata.request, this->caller.Socket(),
                                        this->MakeTimes(this->attempts + 1));
   this->last_attempt_end = ToString(end);
+  this->context.metrics.limited_answers += attempt.Metadata().requests_per_second ? 1 : 0;
   this->tried.insert(pick->upstream.id);
   // If another upstream has taken over the address and rejected the request, the request has not
   // reached the chosen one.
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -15,6 +15,9 @@
   writer.Counter("masticrill_gateway_early_breaks_total",
                  "Attempts that broke before their answer began or within a second of it.",
                  this->early_breaks);
+  writer.Counter("masticrill_gateway_limited_answers_total",
+                 "Answers that state how many requests a second their upstream takes.",
+                 this->limited_answers);
   writer.Gauge("masticrill_gateway_in_flight", "Requests in progress.",
                static_cast<double>(this->in_flight.load()));
   writer.Gauge("masticrill_gateway_connections", "Open connections from callers.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -19,6 +19,8 @@
   std::atomic<std::uint64_t> resumed = 0;
   /// Attempts that broke before their answer began or within a second of it.
   std::atomic<std::uint64_t> early_breaks = 0;
+  /// Answers that state how many requests a second their upstream takes.
+  std::atomic<std::uint64_t> limited_answers = 0;
   std::atomic<std::int64_t> in_flight = 0;
   std::atomic<std::int64_t> connections = 0;
   EnumCounter<RefusalKind, kAllRefusalKinds.size()> refusals{kAllRefusalKinds};
--- a/test/platform/edge_test.cc
+++ b/test/platform/edge_test.cc
@@ -119,6 +119,12 @@
   CHECK_FALSE(facts(200, {{"X-Instance-Load", "3,x"}}).load);
   CHECK(facts(200, {{"X-Confidence", "40"}}).confidence == doctest::Approx(0.4));
   CHECK_FALSE(facts(200, {{"X-Confidence", "very"}}).confidence);
+  CHECK(facts(200, {{"Server-Limit", "2.25"}}).requests_per_second == doctest::Approx(2.25));
+  CHECK(facts(503, {{"Server-Limit", " 12 "}}).requests_per_second == doctest::Approx(12));
+  CHECK(facts(200, {{"Server-Limit", "0"}}).requests_per_second == doctest::Approx(0));
+  for (const char* nonsense : {"", "-1", "many", "2,5", "1e3", "nan", "inf", "2.5 a second"}) {
+    CHECK_FALSE(facts(200, {{"Server-Limit", nonsense}}).requests_per_second);
+  }
   CHECK(facts(200, {{"X-Cold-Ms", "900"}}).cold_left == milliseconds(900));
 }
 
