Divide the request limit that an upstream states among all entries, in turns

Cause: no code read the limit that their answers state. Class: a bound on a sum over all entries that no entry knows; an entry that keeps it for itself would let it through as many times as there are entries.

Time is cut into turns of one request at the stated rate. A weighted rendezvous hash of the turn gives each to one of the entries that hold leases; weights are their demands, which lease requests and replies carry. Load notices pass on what entries read. Where all upstreams are at their limits, a request waits only if its entry has a turn soon enough, and is refused at once otherwise.

--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -15,6 +15,7 @@
 #include "masticrill/common/random.h"
 #include "masticrill/config/configuration.h"
 #include "masticrill/gateway/edge_protocol.h"
+#include "masticrill/gateway/request_limit.h"
 #include "masticrill/gateway/route_table.h"
 #include "masticrill/gateway/upstream_choice.h"
 #include "masticrill/gateway/upstream_list.h"
@@ -43,6 +44,8 @@
   /// How long an upstream is avoided after another one has answered at its address, while the list
   /// still shows it there: lists lag, and show lost upstreams for some seconds.
   Duration taken_address_lifetime = seconds(5);
+  /// How long the news of a stated limit is passed on to other entries.
+  Duration limit_news_lifetime = seconds(2);
   /// The work that a running request counts as at a model engine, since it slows other requests.
   double running_work = 60;
 };
@@ -64,7 +67,7 @@
   kFound,
   kNoUpstream,  // The service has no upstream that may take work.
   kAllTried,    // Every usable upstream has already been tried for this request.
-  kColdLimit,   // The remaining upstreams are cold and have reached their request limit.
+  kRateLimit,   // The remaining upstreams are cold or state a limit, and have reached it.
 };
 
 struct UpstreamPick {
@@ -75,7 +78,7 @@
   double work = 0;
   /// The load of the upstream before this request.
   double load = 0;
-  /// With kColdLimit: when to look for capacity at a cold upstream again.
+  /// With kRateLimit: when to look for capacity again.
   Duration retry_after{0};
 };
 
@@ -99,6 +102,23 @@
   }
 };
 
+/// What an entry knows of the limit that an upstream states.
+struct StatedLimit {
+  /// A short hash of the upstream's name and start.
+  std::uint32_t upstream = 0;
+  /// The requests a second that it takes from all entries together; negative when it states no
+  /// limit any more.
+  float per_second = 0;
+  /// Since it said so.
+  std::uint32_t age_ms = 0;
+
+  friend bool operator==(const StatedLimit&, const StatedLimit&) = default;
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->upstream, this->per_second, this->age_ms);
+  }
+};
+
 /// The position of this entry among the entries that share the upstreams' limits.
 struct EntryPosition {
   /// Starts at 0 and is different for each entry.
@@ -123,6 +143,8 @@
   void SetList(const UpstreamList& list, TimePoint now);
   void SetRules(PoolRules rules);
   void SetEntryPosition(EntryPosition position);
+  /// Sets the entries that share the limits that upstreams state.
+  void SetRequestTurns(RequestTurns turns);
 
   /// Finds an upstream and counts the request as in flight there until Release.
   UpstreamPick Pick(const UpstreamQuery& query, TimePoint now, WallTimeMs wall_now);
@@ -140,6 +162,14 @@
 
   void OnLoadReport(const UpstreamId& upstream, const LoadReport& report, TimePoint now);
   void OnColdReport(const UpstreamId& upstream, milliseconds cold_left, TimePoint now);
+  /// Records the limit that an answer states, or that it states none.
+  void OnLimitReport(const UpstreamId& upstream, std::optional<double> per_second, TimePoint now);
+  /// The limits that this entry has read recently; with `forwards`, also those that it was told.
+  std::vector<StatedLimit> RecentLimits(bool forwards, TimePoint now) const;
+  /// Takes over what another entry knows, where that is newer.
+  void OnPeerLimits(const std::vector<StatedLimit>& limits, TimePoint now);
+  /// Upstreams that state a limit now.
+  std::size_t LimitedCount() const;
   /// Records that another upstream answers at this upstream's address. Until the list shows a new
   /// address or start time, or `taken_address_lifetime` has passed, the upstream is chosen only if
   /// no other one is left.
@@ -170,6 +200,13 @@
     TimePoint cold_until;
     /// The last turn that this entry has used while the upstream was cold; -1 for none.
     std::int64_t last_cold_turn = -1;
+    /// The rate of the turns; absent while the upstream states no limit.
+    std::optional<double> turn_rate;
+    double stated_rate = 0;
+    TimePoint limit_known_at;
+    bool limit_is_own_news = false;
+    /// The last turn that this entry has used under a stated limit; -1 for none.
+    std::int64_t last_limit_turn = -1;
     TimePoint last_received_at;
     /// Until then the address is considered to belong to another upstream.
     TimePoint address_taken_until;
@@ -187,6 +224,11 @@
   /// The number of this entry's current turn at a cold upstream; absent while another entry has the
   /// turn.
   std::optional<std::int64_t> ColdTurn(const ColdStartLimit& limit, WallTimeMs wall_now) const;
+  bool MayUseLimited(const Member& member, WallTimeMs wall_now) const;
+  void SetLimit(Member& member, std::optional<double> per_second, TimePoint at);
+  /// When one of the upstreams may take a request again.
+  Duration UntilCapacity(const std::vector<Member*>& full, TimePoint now,
+                         WallTimeMs wall_now) const;
   bool MayUseCold(const Member& member, TimePoint now, WallTimeMs wall_now) const;
   std::vector<Member*> FilterByVersion(std::vector<Member*> members, const UpstreamQuery& query,
                                        WallTimeMs wall_now);
@@ -198,10 +240,13 @@
   Random random;
   PoolRules rules;
   EntryPosition entry_position;
+  RequestTurns request_turns;
   bool has_list = false;
   std::map<UpstreamId, Member> members;
   /// The members by ShortKey.
   std::unordered_map<std::uint32_t, Member*> members_by_key;
+  /// The members by their keys in StatedLimit.
+  std::unordered_map<std::uint32_t, Member*> members_by_limit_key;
   struct PeerWork {
     std::vector<UpstreamWork> work;
     TimePoint received_at;
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -86,12 +86,14 @@
   /// The version of the shared list that the node has.
   std::uint64_t known_list_version = 0;
   routing::PromptReport prompts = {};
+  /// Requests of callers that the node has received, in tenths a second.
+  std::uint32_t demand = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->known_number, this->address,
             this->started_at_ms, this->rollouts, this->load_address, this->known_list_version,
-            this->prompts);
+            this->prompts, this->demand);
   }
 };
 
@@ -109,8 +111,9 @@
   std::uint32_t entry_count = 0;
   /// IP:PORT of the control hosts that take part in the group now, as far as is known.
   std::vector<std::string> control_hosts = {};
-  /// Where the entries that hold leases take load notices.
+  /// Where the entries that hold leases take load notices, and the demand of each.
   std::vector<std::string> load_addresses = {};
+  std::vector<std::uint32_t> demands = {};
   SharedList list = {};
   /// The prompt parts that the next report shall answer for.
   std::vector<PromptPartId> suspect_parts = {};
@@ -118,7 +121,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->granted, this->length_ms, this->number, this->delta, this->message,
-            this->entry_count, this->control_hosts, this->load_addresses, this->list,
+            this->entry_count, this->control_hosts, this->load_addresses, this->demands, this->list,
             this->suspect_parts);
   }
 };
@@ -223,6 +226,7 @@
   std::vector<RolloutReport> rollouts = {};
   std::string load_address = {};
   routing::PromptReport prompts = {};
+  std::uint32_t demand = 0;
 
   friend bool operator==(const NodeReport&, const NodeReport&) = default;
 
@@ -230,7 +234,7 @@
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->started_at_ms, this->address,
             this->known_number, this->age_ms, this->control_host, this->rollouts,
-            this->load_address, this->prompts);
+            this->load_address, this->prompts, this->demand);
   }
 };
 
--- a/include/masticrill/node/lease_client.h
+++ b/include/masticrill/node/lease_client.h
@@ -26,6 +26,9 @@
   std::uint32_t entry_rank = 0;
   /// The prompt parts that the next report shall answer for.
   std::vector<PromptPartId> suspect_parts = {};
+  /// The load addresses of the entries that hold leases, and the demand of each.
+  std::vector<std::string> load_addresses = {};
+  std::vector<std::uint32_t> demands = {};
 };
 
 /// Renews a node's configuration lease: a thread of its own requests the lease from the control
@@ -46,6 +49,8 @@
     std::function<std::vector<net::RolloutReport>()> report_rollouts = {};
     /// Returns the evidence on prompt parts to send with a request.
     std::function<routing::PromptReport()> report_prompts = {};
+    /// Returns the requests of callers that the node receives, in tenths a second.
+    std::function<std::uint32_t()> report_demand = {};
     /// Address at which the node receives load notices; empty for none.
     std::string load_address = {};
     /// Called with the shared list of each granted reply that has one; the bytes are empty when the
--- a/src/control/lease_service.cc
+++ b/src/control/lease_service.cc
@@ -98,6 +98,7 @@
           .entry_count = 0,
           .control_hosts = {},
           .load_addresses = {},
+          .demands = {},
           .list = {},
           .suspect_parts = {}};
 }
@@ -130,6 +131,7 @@
                         .entry_count = 0,
                         .control_hosts = {},
                         .load_addresses = {},
+                        .demands = {},
                         .list = {},
                         .suspect_parts = {}};
   {
@@ -137,6 +139,7 @@
     reply.entry_count = this->fleet.entry_count;
     reply.control_hosts = this->fleet.control_hosts;
     reply.load_addresses = this->fleet.load_addresses;
+    reply.demands = this->fleet.demands;
     reply.suspect_parts = this->suspect_parts;
   }
   reply.list = this->lists.Read(request.known_list_version);
--- a/src/control/lease_service.h
+++ b/src/control/lease_service.h
@@ -41,6 +41,8 @@
   std::vector<std::string> control_hosts;
   /// Addresses at which entries receive load notices.
   std::vector<std::string> load_addresses;
+  /// The demand of the entry at each of these addresses.
+  std::vector<std::uint32_t> demands;
 };
 
 /// Grants configuration leases to nodes while there is recent evidence of a leader with a quorum.
--- a/src/control/node_registry.cc
+++ b/src/control/node_registry.cc
@@ -46,7 +46,8 @@
                          .control_host = this->control_host,
                          .rollouts = last.request.rollouts,
                          .load_address = last.request.load_address,
-                         .prompts = last.request.prompts});
+                         .prompts = last.request.prompts,
+                         .demand = last.request.demand});
     }
   }
   return reports;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -251,7 +251,7 @@
     if (pick.status == PickStatus::kFound) {
       return pick;
     }
-    if (pick.status == PickStatus::kColdLimit &&
+    if (pick.status == PickStatus::kRateLimit &&
         this->clock.Now() + pick.retry_after < wait_until && !this->caller.Socket().PeerLeft()) {
       Pause(pick.retry_after);
       continue;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -110,6 +110,7 @@
   void OnLease(const config::ConfigurationPtr& configuration);
   void ForgetOldEvidence(const config::Configuration& next);
   std::vector<net::RolloutReport> ReportRollouts() const;
+  RequestTurns MakeTurns(const node::LeaseUpdate& news) const;
   GatewayViewPtr View() const;
   void AwaitLease(TimePoint until);
   std::optional<TimePoint> EndsAt() const;
@@ -130,6 +131,7 @@
   routing::EvidenceTable evidence;
   PromptGuard prompts;
   GatewayMetrics metrics;
+  DemandMeter demand;
   StreamPace pace;
   AnswerLateness lateness;
   CallContext call_context;
@@ -166,6 +168,9 @@
   extras.renew_interval = this->options.renew_interval;
   extras.report_rollouts = [this] { return this->ReportRollouts(); };
   extras.report_prompts = [this] { return this->prompts.Report(this->clock.Now()); };
+  extras.report_demand = [this] {
+    return this->demand.Read(this->metrics.received, this->clock.Now());
+  };
   extras.load_address = this->options.load_address;
   extras.on_list = [this](const std::string& bytes, Duration age) {
     this->list_updater->OnSharedList(bytes, age);
@@ -174,6 +179,7 @@
       this->link, credentials.self, this->options.advertised_address,
       [this](const config::ConfigurationPtr& configuration, const node::LeaseUpdate& news) {
         this->pool.SetEntryPosition({news.entry_rank, news.entry_count});
+        this->pool.SetRequestTurns(this->MakeTurns(news));
         this->prompts.OnLease(BlockedParts(*configuration), news.suspect_parts, this->clock.Now());
         this->OnLease(configuration);
       },
@@ -303,6 +309,15 @@
   return reports;
 }
 
+RequestTurns GatewayServer::State::MakeTurns(const node::LeaseUpdate& news) const {
+  std::vector<EntryShare> entries;
+  for (std::size_t index = 0; index < news.load_addresses.size(); ++index) {
+    entries.push_back(
+        {news.load_addresses[index], index < news.demands.size() ? news.demands[index] : 0});
+  }
+  return {this->options.load_address, std::move(entries)};
+}
+
 GatewayViewPtr GatewayServer::State::View() const {
   const std::scoped_lock lock(this->view_mutex);
   return this->view;
@@ -360,6 +375,9 @@
   writer.Gauge("masticrill_gateway_upstreams",
                "Upstreams that are listed or have requests in flight.",
                static_cast<double>(this->pool.UpstreamCount()));
+  writer.Gauge("masticrill_gateway_limited_upstreams",
+               "Upstreams that state how many requests a second they take from all entries.",
+               static_cast<double>(this->pool.LimitedCount()));
   writer.Gauge("masticrill_gateway_blocked_prompt_parts",
                "Parts of prompts with which requests are refused.",
                static_cast<double>(this->prompts.BlockedCount(this->clock.Now())));
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -115,6 +115,7 @@
         }
         last = notice.sequence;
         this->pool.SetPeerWork(notice.sender, std::move(notice.work), this->clock.Now());
+        this->pool.OnPeerLimits(notice.limits, this->clock.Now());
         return true;
       },
       [&](const Error& error) {
@@ -128,14 +129,17 @@
 
 /// Sends this host's work to its peers. After the last work has ended, sends one empty notice.
 void LoadExchange::State::SendNotice() {
-  LoadNotice notice{this->options.node, ++this->sequence, this->pool.OwnWork()};
-  if (notice.work.empty() && !std::exchange(this->had_work, false)) {
+  const std::vector<std::string> all = this->peers();
+  // Where not every entry hears every other one, news of limits is passed on.
+  const bool forwards = all.size() > this->options.max_peers + 1;
+  LoadNotice notice{this->options.node, ++this->sequence, this->pool.OwnWork(),
+                    this->pool.RecentLimits(forwards, this->clock.Now())};
+  if (notice.work.empty() && notice.limits.empty() && !std::exchange(this->had_work, false)) {
     return;
   }
   this->had_work = !notice.work.empty();
   const std::string datagram = EncodeNotice(notice, this->options.shared_secret);
-  for (const std::string& peer :
-       ChoosePeers(this->options.address, this->peers(), this->options.max_peers)) {
+  for (const std::string& peer : ChoosePeers(this->options.address, all, this->options.max_peers)) {
     try {
       this->socket.sendTo(datagram.data(), static_cast<int>(datagram.size()),
                           Poco::Net::SocketAddress(peer));
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -23,11 +23,13 @@
   /// sender are not dropped as old.
   std::uint64_t sequence = 0;
   std::vector<UpstreamWork> work;
+  /// The limits of upstreams that the sender knows newly.
+  std::vector<StatedLimit> limits = {};
 
   friend bool operator==(const LoadNotice&, const LoadNotice&) = default;
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->sender, this->sequence, this->work);
+    archive(this->sender, this->sequence, this->work, this->limits);
   }
 };
 
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -227,6 +227,11 @@
   if (this->metadata.cold_left) {
     this->pool.OnColdReport(this->upstream.id, *this->metadata.cold_left, now);
   }
+  // A refusal may come from a part of the upstream that states no limits.
+  if (!this->metadata.other_upstream &&
+      (this->metadata.requests_per_second || !this->metadata.not_run)) {
+    this->pool.OnLimitReport(this->upstream.id, this->metadata.requests_per_second, now);
+  }
   if (this->metadata.not_run || this->metadata.other_upstream) {
     return AttemptEnd::kNotRun;
   }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -30,6 +30,16 @@
   return static_cast<Narrow>(std::min(value, kMax));
 }
 
+/// An upstream that has started anew has stated no limit yet, so its former key means nothing.
+std::uint64_t StartHash(const ListedUpstream& upstream) {
+  return Hash64(upstream.id.Value() + "@" + std::to_string(upstream.started_at));
+}
+
+std::uint32_t LimitKey(const ListedUpstream& upstream) {
+  constexpr unsigned kHalf = 32;
+  return static_cast<std::uint32_t>(StartHash(upstream) >> kHalf);
+}
+
 }  // namespace
 
 std::uint32_t ShortKey(const UpstreamId& upstream) {
@@ -77,8 +87,10 @@
     return !entry.second.present && entry.second.in_flight == 0;
   });
   this->members_by_key.clear();
+  this->members_by_limit_key.clear();
   for (auto& [id, member] : this->members) {
     this->members_by_key.emplace(ShortKey(id), &member);
+    this->members_by_limit_key.emplace(LimitKey(member.listed), &member);
   }
   this->RecomputePeerWork();
   this->has_list = true;
@@ -94,6 +106,9 @@
   member.cold_until = std::max(member.cold_until, now + Duration(cold));
   member.health.OnRestart(now);
   member.address_taken_until = TimePoint();
+  member.turn_rate.reset();
+  member.limit_known_at = TimePoint();
+  member.last_limit_turn = -1;
 }
 
 void UpstreamPool::SetRules(PoolRules next) {
@@ -107,6 +122,11 @@
   this->entry_position = {next.rank, std::max<std::uint32_t>(next.count, 1)};
 }
 
+void UpstreamPool::SetRequestTurns(RequestTurns next) {
+  const std::scoped_lock lock(this->mutex);
+  this->request_turns = std::move(next);
+}
+
 bool UpstreamPool::MayTakeWork(const Member& member, const UpstreamQuery& query) const {
   return member.present && !member.listed.leaving && member.listed.service == query.service &&
          !this->rules.closed_domains.contains(member.listed.failure_domain);
@@ -212,6 +232,32 @@
   return turn && *turn != member.last_cold_turn;
 }
 
+/// Whether this entry may send the upstream another request now: always when it states no limit, or
+/// once in each of the entry's turns.
+bool UpstreamPool::MayUseLimited(const Member& member, WallTimeMs wall_now) const {
+  if (!member.turn_rate) {
+    return true;
+  }
+  const std::optional<std::int64_t> turn =
+      this->request_turns.CurrentTurn(StartHash(member.listed), *member.turn_rate, wall_now);
+  return turn && *turn != member.last_limit_turn;
+}
+
+Duration UpstreamPool::UntilCapacity(const std::vector<Member*>& full, TimePoint now,
+                                     WallTimeMs wall_now) const {
+  constexpr Duration kColdRetry = milliseconds(50);
+  Duration wait = seconds(5);
+  for (const Member* member : full) {
+    if (!this->MayUseCold(*member, now, wall_now)) {
+      wait = std::min(wait, kColdRetry);
+    } else if (member->turn_rate) {
+      wait = std::min(wait, this->request_turns.UntilNextTurn(StartHash(member->listed),
+                                                              *member->turn_rate, wall_now, wait));
+    }
+  }
+  return wait;
+}
+
 /// Keeps the upstreams of the version that the request goes to. The session key determines the
 /// version, identically on every host; without a key the version is drawn at random.
 std::vector<UpstreamPool::Member*> UpstreamPool::FilterByVersion(std::vector<Member*> found,
@@ -275,12 +321,18 @@
   if (found.empty()) {
     return {PickStatus::kAllTried, {}, ChoiceReason::kNone, 0, 0, Duration::zero()};
   }
-  found = this->HealthyOrAll(ReachableOrAll(found, now), now);
-  std::erase_if(found,
-                [&](const Member* member) { return !this->MayUseCold(*member, now, wall_now); });
+  const std::vector<Member*> healthy = this->HealthyOrAll(ReachableOrAll(found, now), now);
+  found = healthy;
+  std::erase_if(found, [&](const Member* member) {
+    return !this->MayUseCold(*member, now, wall_now) || !this->MayUseLimited(*member, wall_now);
+  });
   if (found.empty()) {
-    constexpr Duration kColdRetry = milliseconds(50);
-    return {PickStatus::kColdLimit, {}, ChoiceReason::kNone, 0, 0, kColdRetry};
+    return {PickStatus::kRateLimit,
+            {},
+            ChoiceReason::kNone,
+            0,
+            0,
+            this->UntilCapacity(healthy, now, wall_now)};
   }
   std::vector<Candidate> candidates;
   for (const Member* member : found) {
@@ -294,6 +346,11 @@
       service != nullptr && service->cold_start.requests_per_second > 0) {
     chosen.last_cold_turn = this->ColdTurn(service->cold_start, wall_now).value_or(-1);
   }
+  if (chosen.turn_rate) {
+    chosen.last_limit_turn =
+        this->request_turns.CurrentTurn(StartHash(chosen.listed), *chosen.turn_rate, wall_now)
+            .value_or(-1);
+  }
   if (chosen.in_flight == 0) {
     chosen.last_received_at = now;
   }
@@ -360,6 +417,72 @@
   }
 }
 
+void UpstreamPool::OnLimitReport(const UpstreamId& upstream, std::optional<double> per_second,
+                                 TimePoint now) {
+  const std::scoped_lock lock(this->mutex);
+  if (const auto found = this->members.find(upstream); found != this->members.end()) {
+    this->SetLimit(found->second, per_second, now);
+    found->second.limit_is_own_news = true;
+  }
+}
+
+void UpstreamPool::SetLimit(Member& member, std::optional<double> per_second, TimePoint at) {
+  const bool was_limited = member.turn_rate.has_value();
+  if (!was_limited && !per_second) {
+    return;
+  }
+  member.limit_known_at = at;
+  if (!per_second) {
+    member.turn_rate.reset();
+  } else {
+    member.stated_rate = *per_second;
+    member.turn_rate = TurnRate(member.turn_rate, *per_second);
+  }
+  if (was_limited != per_second.has_value()) {
+    kLog.Info(per_second ? "An upstream states a request limit."
+                         : "An upstream states no request limit any more.",
+              {{"upstream", member.listed.id}, {"per_second", per_second.value_or(0)}});
+  }
+}
+
+std::vector<StatedLimit> UpstreamPool::RecentLimits(bool forwards, TimePoint now) const {
+  const std::scoped_lock lock(this->mutex);
+  std::vector<StatedLimit> limits;
+  for (const auto& [key, member] : this->members_by_limit_key) {
+    const Duration age = now - member->limit_known_at;
+    if (age > this->settings.limit_news_lifetime || (!forwards && !member->limit_is_own_news)) {
+      continue;
+    }
+    limits.push_back({key, member->turn_rate ? static_cast<float>(member->stated_rate) : -1,
+                      Saturate<std::uint32_t>(duration_cast<milliseconds>(age).count())});
+  }
+  return limits;
+}
+
+void UpstreamPool::OnPeerLimits(const std::vector<StatedLimit>& limits, TimePoint now) {
+  const std::scoped_lock lock(this->mutex);
+  for (const StatedLimit& limit : limits) {
+    const auto found = this->members_by_limit_key.find(limit.upstream);
+    const TimePoint said_at = now - Duration(milliseconds(limit.age_ms));
+    if (found == this->members_by_limit_key.end() || said_at <= found->second->limit_known_at ||
+        !std::isfinite(limit.per_second)) {
+      continue;
+    }
+    this->SetLimit(*found->second,
+                   limit.per_second < 0 ? std::nullopt : std::optional<double>(limit.per_second),
+                   said_at);
+    found->second->limit_is_own_news = false;
+  }
+}
+
+std::size_t UpstreamPool::LimitedCount() const {
+  const std::scoped_lock lock(this->mutex);
+  return static_cast<std::size_t>(
+      std::count_if(this->members.begin(), this->members.end(), [](const auto& entry) {
+        return entry.second.present && entry.second.turn_rate.has_value();
+      }));
+}
+
 void UpstreamPool::OnAddressTaken(const UpstreamId& upstream, TimePoint now) {
   const std::scoped_lock lock(this->mutex);
   const auto found = this->members.find(upstream);
--- a/src/node/lease_client.cc
+++ b/src/node/lease_client.cc
@@ -101,6 +101,9 @@
   if (this->options.report_prompts) {
     request.prompts = this->options.report_prompts();
   }
+  if (this->options.report_demand) {
+    request.demand = this->options.report_demand();
+  }
   config::LeaseRequestId request_id = 0;
   {
     const std::lock_guard lock(this->mutex);
@@ -201,7 +204,8 @@
   }
   if (valid_until) {
     this->on_lease(current, {*valid_until, std::max<std::uint32_t>(reply.entry_count, 1),
-                             this->RankOfThisEntry(reply.load_addresses), reply.suspect_parts});
+                             this->RankOfThisEntry(reply.load_addresses), reply.suspect_parts,
+                             reply.load_addresses, reply.demands});
   }
   this->AnswerSoon(reply.suspect_parts);
   return true;
