Do not take the end of a connection for the end of a resumed stream before its first event

Cause: the pending event was empty and the caller's stream had begun, by the former upstream's events. A stream whose end only the connection tells needs an event of this attempt. The test failed before (a cut stream looked whole) and passes.

--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -600,6 +600,7 @@
 CallRunner::NextStep CallRunner::RelayStream(UpstreamAttempt& attempt) {
   const AttemptTimes times = this->MakeTimes(this->attempts);
   this->events.DropPending();
+  const std::uint64_t events_before = this->events.EventCount();
   while (true) {
     std::string part;
     AttemptEnd end = attempt.ReadPart(part, this->caller.Socket(), times);
@@ -614,7 +615,11 @@
       this->RecordSurvival(attempt, false);
       continue;
     }
-    if (end == AttemptEnd::kFinished && this->events.Pending().empty() && this->caller.Begun()) {
+    // A connection that ends before the first event of a resumed stream does not tell its end.
+    const bool is_told =
+        !attempt.EndsWithConnection() || this->events.EventCount() > events_before;
+    if (end == AttemptEnd::kFinished && is_told && this->events.Pending().empty() &&
+        this->caller.Begun()) {
       this->RecordVerdict(attempt, true);
       this->RecordSurvival(attempt, true);
       this->context.pace.Add(this->service, this->events.EventCount(),
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -72,6 +72,10 @@
   const ListedUpstream& Upstream() const { return this->upstream; }
   /// Whether the upstream ended the connection, or it was reset, after the hand-over.
   bool ConnectionLost() const { return this->connection_lost; }
+  /// Whether only the end of the connection tells the end of the answer.
+  bool EndsWithConnection() const {
+    return this->decoder.Framing() == net::BodyFraming::kUntilClose;
+  }
   bool AnswerBegun() const { return this->answer_begun; }
   /// How long ago the head of the answer arrived; zero before that.
   Duration AnswerAge(TimePoint now) const {
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -231,6 +231,30 @@
   CHECK(BodyOf(saw).whole);
 }
 
+// Guards against a stream that looks complete though its second upstream ended before its first
+// event: without length and chunks, the end of the connection was taken for the end of the stream.
+TEST_CASE("a resumed stream whose connection ends before any event is not complete") {
+  RawUpstream first([](const RawCall& call) {
+    call.Write("HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n" + Event(1) + "id: 2\nda");
+  });
+  RawUpstream second(
+      [](const RawCall& call) { call.Write("HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n"); });
+  RawUpstream third([](const RawCall& call) {
+    call.Write("HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n" + Event(2) + Event(3));
+  });
+  GatewayPath path(RouteOf(RouteKind::kStream, 3));
+  path.SetUpstreams({first.Address(), second.Address(), third.Address()});
+  const CallerSaw saw = path.Send(Post());
+  CHECK(BodyOf(saw).text == Event(1) + Event(2) + Event(3));
+  CHECK(BodyOf(saw).whole);
+
+  GatewayPath two_attempts(RouteOf(RouteKind::kStream, 2));
+  two_attempts.SetUpstreams({first.Address(), second.Address()});
+  const CallerSaw cut = two_attempts.Send(Post());
+  CHECK(BodyOf(cut).text == Event(1));
+  CHECK_FALSE(BodyOf(cut).whole);
+}
+
 TEST_CASE("a request with a blocked part of its prompt reaches no upstream") {
   RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
   GatewayPath path(RouteOf(RouteKind::kIdempotent, 3));
