Bound the memory and the time that an upstream costs that sends without end

A head of interim answers and a trailer without end held a request until its deadline and took gigabytes off the wire; an event without end grew in memory without bound. The attempt counts as broken, so that a repeatable request goes on elsewhere.

--- a/include/masticrill/gateway/event_splitter.h
+++ b/include/masticrill/gateway/event_splitter.h
@@ -19,10 +19,15 @@
   std::uint64_t EventCount() const { return this->event_count; }
   /// The bytes of the incomplete event at the end.
   const std::string& Pending() const { return this->pending; }
+  /// Whether the event at the end is longer than any that is believed.
+  bool TooLong() const { return this->pending.size() > kMaxEventBytes; }
   /// Discards the incomplete event, when the stream resumes at another upstream.
   void DropPending() { this->pending.clear(); }
 
  private:
+  /// Engines send a few tokens with each event.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20U;
+
   void OnEvent(std::string_view event);
 
   std::string pending;
--- a/include/masticrill/net/body_decoder.h
+++ b/include/masticrill/net/body_decoder.h
@@ -38,6 +38,7 @@
   State state = State::kDone;
   std::uint64_t left = 0;
   std::string line;
+  std::size_t trailer_bytes = 0;
 };
 
 }  // namespace masticrill::net
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <condition_variable>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -58,6 +59,25 @@
   return attempt.AnswerBegun() ? duration_cast<milliseconds>(attempt.AnswerAge(now)).count() : -1;
 }
 
+/// The part of one answer in the bytes that all answers of the gateway have buffered.
+class BufferedBytes {
+ public:
+  explicit BufferedBytes(std::atomic<std::size_t>& total) : total(total) {}
+  ~BufferedBytes() { this->total -= this->own; }
+  BufferedBytes(const BufferedBytes&) = delete;
+  BufferedBytes& operator=(const BufferedBytes&) = delete;
+
+  void Add(std::size_t bytes) {
+    this->own += bytes;
+    this->total += bytes;
+  }
+  std::size_t Total() const { return this->total; }
+
+ private:
+  std::atomic<std::size_t>& total;
+  std::size_t own = 0;
+};
+
 void Pause(Duration duration) {
   std::mutex mutex;
   std::condition_variable never;
@@ -563,10 +583,13 @@
   std::string answer;
   const AttemptTimes times = this->MakeTimes(this->attempts);
   AttemptEnd end = AttemptEnd::kAnswered;
-  while (end == AttemptEnd::kAnswered && answer.size() <= this->context.settings.max_answer_bytes) {
+  BufferedBytes buffered(this->context.metrics.buffered_bytes);
+  while (end == AttemptEnd::kAnswered && answer.size() <= this->context.settings.max_answer_bytes &&
+         buffered.Total() <= this->context.settings.max_buffered_bytes) {
     std::string part;
     end = attempt.ReadPart(part, this->caller.Socket(), times);
     answer += part;
+    buffered.Add(part.size());
   }
   if (end != AttemptEnd::kFinished) {
     return this->OnEnd(attempt, end == AttemptEnd::kAnswered ? AttemptEnd::kBroken : end);
@@ -605,6 +628,9 @@
     std::string part;
     AttemptEnd end = attempt.ReadPart(part, this->caller.Socket(), times);
     const std::string events_now = this->events.Feed(part);
+    if (this->events.TooLong()) {
+      end = AttemptEnd::kBroken;
+    }
     if (!events_now.empty()) {
       if ((!this->caller.Begun() && !this->BeginStream(attempt)) ||
           !this->caller.WritePart(events_now, this->deadline)) {
@@ -616,8 +642,7 @@
       continue;
     }
     // A connection that ends before the first event of a resumed stream does not tell its end.
-    const bool is_told =
-        !attempt.EndsWithConnection() || this->events.EventCount() > events_before;
+    const bool is_told = !attempt.EndsWithConnection() || this->events.EventCount() > events_before;
     if (end == AttemptEnd::kFinished && is_told && this->events.Pending().empty() &&
         this->caller.Begun()) {
       this->RecordVerdict(attempt, true);
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -148,6 +148,10 @@
 /// Waits for the next bytes, and checks at intervals whether the upstream is silent or slow.
 AttemptEnd UpstreamAttempt::FillOnce(const net::SocketStream& caller, const AttemptTimes& times) {
   while (true) {
+    // An upstream that never stops sending is not timed out by a wait for its next bytes.
+    if (this->clock.Now() >= times.deadline) {
+      return AttemptEnd::kTimeout;
+    }
     TimePoint wait_until = times.deadline;
     if (times.may_retry_elsewhere) {
       wait_until = std::min(wait_until, this->clock.Now() + Duration(this->settings.silence_check));
@@ -189,7 +193,8 @@
 
 /// Reads the head of the final answer and skips interim answers (1xx).
 AttemptEnd UpstreamAttempt::ReadHead(const net::SocketStream& caller, const AttemptTimes& times) {
-  while (true) {
+  constexpr int kMaxHeads = 16;
+  for (int heads = 0; heads < kMaxHeads; ++heads) {
     std::string block;
     if (const AttemptEnd end = this->ReadOneHead(block, caller, times);
         end != AttemptEnd::kAnswered) {
@@ -211,6 +216,7 @@
       return AttemptEnd::kAnswered;
     }
   }
+  return AttemptEnd::kBroken;
 }
 
 /// Checks that the head belongs to a valid answer to this request, and tells the pool the load and
--- a/src/net/body_decoder.cc
+++ b/src/net/body_decoder.cc
@@ -8,6 +8,8 @@
 
 /// The longest chunk-size or trailer line, in bytes. Real ones have a few dozen.
 constexpr std::size_t kMaxLineBytes = 1024;
+/// All trailer lines of a body together.
+constexpr std::size_t kMaxTrailerBytes = std::size_t{16} << 10U;
 /// The largest chunk that is believed, in bytes.
 constexpr std::uint64_t kMaxChunkBytes = std::uint64_t{1} << 31U;
 
@@ -83,6 +85,11 @@
     return;
   }
   if (this->state == State::kTrailer) {
+    this->trailer_bytes += this->line.size();
+    if (this->trailer_bytes > kMaxTrailerBytes) {
+      this->state = State::kMalformed;
+      return;
+    }
     this->state = this->line.empty() ? State::kDone : State::kTrailer;
     return;
   }
--- /dev/null
+++ b/test/gateway/endless_bytes_test.cc
@@ -0,0 +1,169 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+#include "fakes/gateway_caller.h"
+#include "fakes/raw_upstream.h"
+
+namespace masticrill::gateway {
+namespace {
+
+using fakes::CallerSaw;
+using fakes::GatewayPath;
+using fakes::RawCall;
+using fakes::RawUpstream;
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nSigned: 1\r\n";
+const std::string kWhole = kHead + "Content-Length: 4\r\n\r\ngood";
+const std::string kWholeStream = kHead + "\r\nid: 1\ndata: 1\n\n";
+const std::string kPost =
+    "POST /path HTTP/1.1\r\nHost: host\r\nId: r1\r\nConnection: close\r\n"
+    "Key: good-key\r\nContent-Length: 0\r\n\r\n";
+
+Route RouteOf(RouteKind kind, std::uint32_t max_attempts = 2) {
+  Route route;
+  route.kind = kind;
+  route.max_attempts = max_attempts;
+  route.resumable = kind == RouteKind::kStream;
+  return route;
+}
+
+/// Writes a prefix, then the same bytes without end, until the other side closes the connection.
+/// Counts what was written.
+class EndlessUpstream {
+ public:
+  EndlessUpstream(const std::string& prefix, const std::string& repeated)
+      : upstream([this, prefix, repeated](const RawCall& call) {
+          constexpr std::size_t kBlockBytes = 16'384;
+          std::string block;
+          while (block.size() < kBlockBytes) {
+            block += repeated;
+          }
+          bool goes_on = call.Write(prefix);
+          while (goes_on) {
+            goes_on = call.Write(block);
+            this->written += block.size();
+          }
+          this->closed = true;
+        }) {}
+
+  std::string Address() const { return this->upstream.Address(); }
+  bool AwaitClosed() const {
+    const TimePoint end = SystemClock().Now() + seconds(30);
+    while (!this->closed && SystemClock().Now() < end) {
+      std::this_thread::yield();
+    }
+    return this->closed;
+  }
+  std::size_t Written() const { return this->written; }
+
+ private:
+  std::atomic<bool> closed = false;
+  std::atomic<std::size_t> written = 0;
+  RawUpstream upstream;
+};
+
+/// Bytes that may wait in the buffers of a loopback connection.
+constexpr std::size_t kSocketBytes = std::size_t{16} << 20U;
+
+TEST_CASE("bytes without end in the head of an answer are cut off, and another upstream answers") {
+  const std::pair<std::string, std::string> cases[] = {
+      {"", "x"},
+      {kHead, "Filler: x\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+  };
+  for (const auto& [prefix, repeated] : cases) {
+    CAPTURE(repeated);
+    const EndlessUpstream endless(prefix, repeated);
+    RawUpstream healthy([](const RawCall& call) { call.Write(kWhole); });
+    GatewayPath path(RouteOf(RouteKind::kIdempotent));
+    path.SetUpstreams({endless.Address(), healthy.Address()});
+    CHECK(path.Send(kPost).Status() == 200);
+    CHECK(endless.AwaitClosed());
+    CHECK(endless.Written() < path.settings.max_answer_head_bytes + kSocketBytes);
+  }
+}
+
+TEST_CASE("a body without end is cut off, and another upstream answers") {
+  const std::pair<std::string, std::string> cases[] = {
+      {kHead + "\r\n", "x"},
+      {kHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+      {kHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Filler: x\r\n"},
+      {kHead + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+  };
+  for (const auto& [prefix, repeated] : cases) {
+    CAPTURE(prefix);
+    const EndlessUpstream endless(prefix, repeated);
+    RawUpstream healthy([](const RawCall& call) { call.Write(kWhole); });
+    GatewayPath path(RouteOf(RouteKind::kIdempotent));
+    path.SetUpstreams({endless.Address(), healthy.Address()});
+    CHECK(path.Send(kPost).Status() == 200);
+    CHECK(endless.AwaitClosed());
+    CHECK(endless.Written() < 8 * path.settings.max_answer_bytes + kSocketBytes);
+    CHECK(path.metrics.buffered_bytes == 0);
+  }
+}
+
+TEST_CASE("an event without end is cut off, and the stream goes on elsewhere") {
+  for (const std::string repeated : {"x", ": comment\n"}) {
+    CAPTURE(repeated);
+    const EndlessUpstream endless(kHead + "\r\n", repeated);
+    RawUpstream healthy([](const RawCall& call) { call.Write(kWholeStream); });
+    GatewayPath path(RouteOf(RouteKind::kStream));
+    path.SetUpstreams({endless.Address(), healthy.Address()});
+    const CallerSaw saw = path.Send(kPost);
+    CHECK(saw.Status() == 200);
+    CHECK(saw.Has("data: 1"));
+    CHECK_FALSE(saw.Has("comment"));
+    CHECK(endless.AwaitClosed());
+    CHECK(endless.Written() < 2 * (std::size_t{1} << 20U) + kSocketBytes);
+  }
+}
+
+TEST_CASE("what an upstream sends without end is over at the request's deadline") {
+  // Whole events, and a head that comes byte by byte: neither is ever silent.
+  const EndlessUpstream events(kHead + "\r\n", "id: 1\ndata: 1\n\n");
+  Route stream = RouteOf(RouteKind::kStream, 1);
+  stream.timeout = milliseconds(300);
+  GatewayPath path(stream);
+  path.SetUpstreams({events.Address()});
+  const CallerSaw saw = path.Send(kPost);
+  CHECK_FALSE(saw.bytes.ends_with("0\r\n\r\n"));
+  CHECK(events.AwaitClosed());
+
+  std::atomic<bool> closed = false;
+  RawUpstream dripping([&](const RawCall& call) {
+    while (call.Write("x")) {
+      if (call.socket.Fill(SystemClock().Now() + milliseconds(5)) != net::IoEnd::kTimeout) {
+        break;
+      }
+    }
+    closed = true;
+  });
+  Route once = RouteOf(RouteKind::kAtMostOnce, 1);
+  once.timeout = milliseconds(300);
+  GatewayPath slow(once);
+  slow.SetUpstreams({dripping.Address()});
+  CHECK(slow.Send(kPost).Status() == 504);
+  const TimePoint end = SystemClock().Now() + seconds(30);
+  while (!closed && SystemClock().Now() < end) {
+    std::this_thread::yield();
+  }
+  CHECK(closed);
+}
+
+TEST_CASE("answers that are buffered at the same time are bounded together") {
+  const EndlessUpstream endless(kHead + "\r\n", "x");
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 1));
+  path.settings.max_buffered_bytes = std::size_t{1} << 20U;
+  path.SetUpstreams({endless.Address()});
+  // Another request has buffered nearly as much.
+  path.metrics.buffered_bytes += path.settings.max_buffered_bytes - 10'000;
+  CHECK(path.Send(kPost).Status() == 502);
+  CHECK(path.metrics.buffered_bytes == path.settings.max_buffered_bytes - 10'000);
+}
+
+}  // namespace
+}  // namespace masticrill::gateway
