--- a/test/gateway/endless_bytes_test.cc
+++ b/test/gateway/endless_bytes_test.cc
@@ -74,7 +74,9 @@
       {kHead, "Filler: x\r\n"},
       {"", "HTTP/1.1 100 Continue\r\n\r\n"},
   };
-  for (const auto& [prefix, repeated] : cases) {
+  for (const auto& test_case : cases) {
+    const std::string& prefix = test_case.first;
+    const std::string& repeated = test_case.second;
     CAPTURE(repeated);
     const EndlessUpstream endless(prefix, repeated);
     RawUpstream healthy([](const RawCall& call) { call.Write(kWhole); });
@@ -93,7 +95,9 @@
       {kHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Filler: x\r\n"},
       {kHead + "Transfer-Encoding: chunked\r\n\r\n", "0"},
   };
-  for (const auto& [prefix, repeated] : cases) {
+  for (const auto& test_case : cases) {
+    const std::string& prefix = test_case.first;
+    const std::string& repeated = test_case.second;
     CAPTURE(prefix);
     const EndlessUpstream endless(prefix, repeated);
     RawUpstream healthy([](const RawCall& call) { call.Write(kWhole); });
--- a/test/gateway/request_limit_fleet_test.cc
+++ b/test/gateway/request_limit_fleet_test.cc
@@ -161,7 +161,7 @@
         }
         int demand = std::max(this->entries[other].demand, 1);
         if (this->scenario.inexact_demand) {
-          demand = 1 + static_cast<int>(this->random.Below(2 * static_cast<unsigned>(demand)));
+          demand = 1 + static_cast<int>(this->random.Below(2 * static_cast<std::uint64_t>(demand)));
         }
         shares.push_back({this->entries[other].address, static_cast<std::uint32_t>(demand)});
       }
--- a/test/gateway/request_limit_test.cc
+++ b/test/gateway/request_limit_test.cc
@@ -13,6 +13,7 @@
 
 constexpr std::uint64_t kUpstream = 77;
 constexpr WallTimeMs kBegin = 1'790'000'000'000;
+constexpr WallTimeMs kTurnMs = 500;
 
 std::vector<EntryShare> Entries(int count, std::uint32_t weight = 10) {
   std::vector<EntryShare> entries;
@@ -39,7 +40,7 @@
   for (int turn = 0; turn < kTurns; ++turn) {
     int owners = 0;
     for (std::size_t entry = 0; entry < all.size(); ++entry) {
-      if (all[entry].CurrentTurn(kUpstream, 2, kBegin + 500 * turn)) {
+      if (all[entry].CurrentTurn(kUpstream, 2, kBegin + kTurnMs * turn)) {
         ++owners;
         ++owned[entry];
       }
@@ -63,7 +64,7 @@
   int differing = 0;
   constexpr int kTurns = 2000;
   for (int turn = 0; turn < kTurns; ++turn) {
-    const WallTimeMs now = kBegin + 500 * turn;
+    const WallTimeMs now = kBegin + kTurnMs * turn;
     differing += one.CurrentTurn(kUpstream, 2, now) != other.CurrentTurn(kUpstream, 2, now) ? 1 : 0;
   }
   CHECK(differing < kTurns / 100);
@@ -77,7 +78,7 @@
   const RequestTurns added("10.9.9.9:7000", Entries(3));
   int owned = 0;
   for (int turn = 0; turn < 1000; ++turn) {
-    owned += added.CurrentTurn(kUpstream, 2, kBegin + 500 * turn) ? 1 : 0;
+    owned += added.CurrentTurn(kUpstream, 2, kBegin + kTurnMs * turn) ? 1 : 0;
   }
   CHECK(owned > 150);
   CHECK(owned < 350);
@@ -86,7 +87,7 @@
 TEST_CASE("the next turn of an entry is found within the horizon") {
   const std::vector<RequestTurns> all = AllTurns(Entries(5));
   for (int step = 0; step < 200; ++step) {
-    const WallTimeMs now = kBegin + 130 * step;
+    const WallTimeMs now = kBegin + WallTimeMs{130} * step;
     const Duration wait = all[2].UntilNextTurn(kUpstream, 4, now, seconds(60));
     REQUIRE(wait < Duration(seconds(60)));
     const WallTimeMs then = now + duration_cast<milliseconds>(wait).count();
@@ -115,8 +116,8 @@
   DemandMeter meter;
   std::uint32_t demand = meter.Read(0, begin);
   CHECK(demand == 0);
-  for (int second = 1; second <= 60; ++second) {
-    demand = meter.Read(static_cast<std::uint64_t>(20 * second), begin + seconds(second));
+  for (std::uint64_t second = 1; second <= 60; ++second) {
+    demand = meter.Read(20 * second, begin + seconds(second));
   }
   CHECK(demand == 200);
 }
