Poll for prompt evidence only while upstreams were lost lately; bound the search for the next turn

Read-through: a report of an entry that is gone kept control hosts polling every 200 ms for up to an hour; the search for an entry's next turn went through thousands of turns at a high rate.

--- a/include/masticrill/gateway/request_limit.h
+++ b/include/masticrill/gateway/request_limit.h
@@ -34,7 +34,8 @@
   /// The number of this entry's turn at the upstream now; absent while another entry has the turn.
   std::optional<std::int64_t> CurrentTurn(std::uint64_t upstream, double per_second,
                                           WallTimeMs now) const;
-  /// Until this entry's next turn begins, as far as it begins within `horizon`; else the horizon.
+  /// Until this entry's next turn begins, if that is within `horizon` and the next few hundred
+  /// turns; else the horizon.
   Duration UntilNextTurn(std::uint64_t upstream, double per_second, WallTimeMs now,
                          Duration horizon) const;
 
--- a/include/masticrill/routing/prompt_evidence.h
+++ b/include/masticrill/routing/prompt_evidence.h
@@ -50,8 +50,8 @@
   std::size_t min_requests = 3;
   std::size_t min_requests_of_many = 2;
   /// An upstream's end is known by connections that it ends within this time. Upstreams that are
-  /// lost within it count as one: a failure domain or an entry's link
-  /// fails at once, while requests end upstreams one after another.
+  /// lost within it count as one: a failure domain or an entry's link fails at once, while requests
+  /// end upstreams one after another.
   milliseconds same_moment{150};
   std::size_t min_moments = 3;
   /// The same for `condemn_at_last` upstreams and more.
--- a/src/control/prompt_block_controller.cc
+++ b/src/control/prompt_block_controller.cc
@@ -19,9 +19,14 @@
 constexpr std::size_t kMaxBlocks = 256;
 constexpr const char* kAuthor = "prompt-guard";
 
+/// Whether an upstream was lost lately.
 bool HasEvidence(const std::vector<net::NodeReport>& reports) {
-  return std::any_of(reports.begin(), reports.end(),
-                     [](const net::NodeReport& report) { return !report.prompts.lost.empty(); });
+  constexpr std::int64_t kLatelyMs = 10'000;
+  return std::any_of(reports.begin(), reports.end(), [](const net::NodeReport& report) {
+    return std::any_of(
+        report.prompts.lost.begin(), report.prompts.lost.end(),
+        [&](const routing::LostStart& lost) { return report.age_ms + lost.age_ms <= kLatelyMs; });
+  });
 }
 
 std::string Describe(const routing::PartVerdict& verdict) {
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -285,7 +285,8 @@
     } else {
       this->Refuse(RefusalKind::kOverloaded,
                    "All upstreams of the service are at their limits or were tried.",
-                   this->context.settings.retry_after);
+                   std::max(this->context.settings.retry_after,
+                            duration_cast<milliseconds>(pick.retry_after)));
     }
     return std::nullopt;
   }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -13,7 +13,8 @@
   writer.Counter("masticrill_gateway_resumed_total",
                  "Streams that were resumed at another upstream.", this->resumed);
   writer.Counter("masticrill_gateway_early_breaks_total",
-                 "Attempts that broke before their answer began or within a second of it.",
+                 "Attempts whose upstream ended the connection before their answer began or "
+                 "shortly afterwards.",
                  this->early_breaks);
   writer.Counter("masticrill_gateway_limited_answers_total",
                  "Answers that state how many requests a second their upstream takes.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -17,7 +17,7 @@
   std::atomic<std::uint64_t> answered = 0;
   std::atomic<std::uint64_t> escalated = 0;
   std::atomic<std::uint64_t> resumed = 0;
-  /// Attempts that broke before their answer began or within a second of it.
+  /// Attempts whose upstream ended the connection before their answer began or shortly afterwards.
   std::atomic<std::uint64_t> early_breaks = 0;
   /// Answers that state how many requests a second their upstream takes.
   std::atomic<std::uint64_t> limited_answers = 0;
--- a/src/gateway/request_limit.cc
+++ b/src/gateway/request_limit.cc
@@ -91,9 +91,9 @@
                                      Duration horizon) const {
   const double turn_ms = TurnMs(per_second);
   const double now_ms = static_cast<double>(now);
-  auto turn = static_cast<std::int64_t>(std::floor(now_ms / turn_ms));
-  while (true) {
-    ++turn;
+  const auto current = static_cast<std::int64_t>(std::floor(now_ms / turn_ms));
+  constexpr std::int64_t kMaxTurns = 256;
+  for (std::int64_t turn = current + 1; turn <= current + kMaxTurns; ++turn) {
     const auto until = milliseconds(
         static_cast<std::int64_t>(std::ceil(static_cast<double>(turn) * turn_ms - now_ms)));
     if (until >= horizon) {
@@ -103,6 +103,7 @@
       return until;
     }
   }
+  return horizon;
 }
 
 }  // namespace masticrill::gateway
