Accept the new refusal kind in commands that record outcomes

Such an outcome would have been lost. The kind is appended, so stored records keep their meaning. No caller could see it yet: gateways record no outcomes.

--- a/src/state/command_check.cc
+++ b/src/state/command_check.cc
@@ -8,7 +8,7 @@
 
 constexpr RequestClass LastEnumerator(RequestClass) { return RequestClass::kTag; }
 constexpr OutcomeKind LastEnumerator(OutcomeKind) { return OutcomeKind::kFailed; }
-constexpr RefusalKind LastEnumerator(RefusalKind) { return RefusalKind::kInternal; }
+constexpr RefusalKind LastEnumerator(RefusalKind) { return RefusalKind::kPromptBlocked; }
 constexpr Execution LastEnumerator(Execution) { return Execution::kUnknown; }
 constexpr ChargeReporter LastEnumerator(ChargeReporter) { return ChargeReporter::kSidecar; }
 constexpr ClaimResolution LastEnumerator(ClaimResolution) {
