Send entries' reports beside lease requests, so that programs of both builds run together

A rolling upgrade would have needed a stop of all. The messages have their former form and version again; reports of entries are messages of their own (EntryReport, EntryReportsRequest), which an older control host answers with an error, and news of limits a datagram of its own, which an older entry rejects. Nothing is blocked while a control host or an entry of an earlier program runs, since it could not read the configuration; a test covers how they are noticed.

--- a/include/masticrill/net/channel.h
+++ b/include/masticrill/net/channel.h
@@ -19,7 +19,7 @@
 namespace masticrill::net {
 
 /// Raised with every change of messages.h that an older process cannot read.
-inline constexpr std::uint32_t kProtocolVersion = 5;
+inline constexpr std::uint32_t kProtocolVersion = 3;
 
 /// One message on a connection. Frames of one exchange share a correlation number, which the
 /// connecting side chooses.
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -85,15 +85,11 @@
   std::string load_address = {};
   /// The version of the shared list that the node has.
   std::uint64_t known_list_version = 0;
-  routing::PromptReport prompts = {};
-  /// Requests of callers that the node has received, in tenths a second.
-  std::uint32_t demand = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->known_number, this->address,
-            this->started_at_ms, this->rollouts, this->load_address, this->known_list_version,
-            this->prompts, this->demand);
+            this->started_at_ms, this->rollouts, this->load_address, this->known_list_version);
   }
 };
 
@@ -111,18 +107,93 @@
   std::uint32_t entry_count = 0;
   /// IP:PORT of the control hosts that take part in the group now, as far as is known.
   std::vector<std::string> control_hosts = {};
-  /// Where the entries that hold leases take load notices, and the demand of each.
+  /// Where the entries that hold leases take load notices.
   std::vector<std::string> load_addresses = {};
-  std::vector<std::uint32_t> demands = {};
   SharedList list = {};
-  /// The prompt parts that the next report shall answer for.
-  std::vector<PromptPartId> suspect_parts = {};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(this->granted, this->length_ms, this->number, this->delta, this->message,
-            this->entry_count, this->control_hosts, this->load_addresses, this->demands, this->list,
-            this->suspect_parts);
+            this->entry_count, this->control_hosts, this->load_addresses, this->list);
+  }
+};
+
+/// Entry to control, beside its lease requests: what it has seen of callers and upstreams. A
+/// control host of an earlier program answers with an error.
+struct EntryReport {
+  static constexpr MessageType kType = MessageType::kEntryReport;
+  NodeId node;
+  IncarnationId incarnation;
+  /// As in LeaseRequest.
+  std::string load_address;
+  /// Requests of callers that it receives, in tenths a second.
+  std::uint32_t demand = 0;
+  routing::PromptReport prompts;
+
+  friend bool operator==(const EntryReport&, const EntryReport&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->node, this->incarnation, this->load_address, this->demand, this->prompts);
+  }
+};
+
+/// The requests that the entry at a load address receives, in tenths a second.
+struct EntryDemand {
+  std::string load_address;
+  std::uint32_t demand = 0;
+
+  friend bool operator==(const EntryDemand&, const EntryDemand&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->load_address, this->demand);
+  }
+};
+
+struct EntryReportReply {
+  static constexpr MessageType kType = MessageType::kEntryReportReply;
+  /// The prompt parts that the next report shall answer for.
+  std::vector<PromptPartId> suspect_parts;
+  std::vector<EntryDemand> demands;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->suspect_parts, this->demands);
+  }
+};
+
+/// Between control replicas: what did entries report to you?
+struct EntryReportsRequest {
+  static constexpr MessageType kType = MessageType::kEntryReportsRequest;
+  NodeId sender;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->sender);
+  }
+};
+
+/// The last report of an entry, and the time since it came.
+struct AgedEntryReport {
+  EntryReport report;
+  std::int64_t age_ms = 0;
+
+  friend bool operator==(const AgedEntryReport&, const AgedEntryReport&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->report, this->age_ms);
+  }
+};
+
+struct EntryReportsReply {
+  static constexpr MessageType kType = MessageType::kEntryReportsReply;
+  std::vector<AgedEntryReport> reports;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->reports);
   }
 };
 
@@ -225,8 +296,6 @@
   /// On the roll-outs that run.
   std::vector<RolloutReport> rollouts = {};
   std::string load_address = {};
-  routing::PromptReport prompts = {};
-  std::uint32_t demand = 0;
 
   friend bool operator==(const NodeReport&, const NodeReport&) = default;
 
@@ -234,7 +303,7 @@
   void serialize(Archive& archive) {
     archive(this->node, this->role, this->incarnation, this->started_at_ms, this->address,
             this->known_number, this->age_ms, this->control_host, this->rollouts,
-            this->load_address, this->prompts, this->demand);
+            this->load_address);
   }
 };
 
--- a/include/masticrill/net/message_type.h
+++ b/include/masticrill/net/message_type.h
@@ -36,6 +36,10 @@
   kMemberReply,
   kSharedListRequest,
   kSharedListReply,
+  kEntryReport,
+  kEntryReportReply,
+  kEntryReportsRequest,
+  kEntryReportsReply,
 };
 
 }  // namespace masticrill::net
--- a/include/masticrill/node/lease_client.h
+++ b/include/masticrill/node/lease_client.h
@@ -24,11 +24,10 @@
   std::uint32_t entry_count = 1;
   /// Position of this entry's load address among theirs, from 0; 0 when it has none.
   std::uint32_t entry_rank = 0;
-  /// The prompt parts that the next report shall answer for.
-  std::vector<PromptPartId> suspect_parts = {};
-  /// The load addresses of the entries that hold leases, and the demand of each.
+  /// The load addresses of the entries that hold leases.
   std::vector<std::string> load_addresses = {};
-  std::vector<std::uint32_t> demands = {};
+  /// The reply to the last report; empty where none was sent, or where the control host takes none.
+  net::EntryReportReply report_reply = {};
 };
 
 /// Renews a node's configuration lease: a thread of its own requests the lease from the control
@@ -47,10 +46,9 @@
     Duration renew_interval = config::kLeaseRenewInterval;
     /// Returns the roll-out evidence to send with a request.
     std::function<std::vector<net::RolloutReport>()> report_rollouts = {};
-    /// Returns the evidence on prompt parts to send with a request.
-    std::function<routing::PromptReport()> report_prompts = {};
-    /// Returns the requests of callers that the node receives, in tenths a second.
-    std::function<std::uint32_t()> report_demand = {};
+    /// Returns the report to send beside a request; empty to send none. The client fills in who
+    /// sends it.
+    std::function<net::EntryReport()> make_report = {};
     /// Address at which the node receives load notices; empty for none.
     std::string load_address = {};
     /// Called with the shared list of each granted reply that has one; the bytes are empty when the
@@ -84,7 +82,7 @@
   void Renew();
   std::uint32_t RankOfThisEntry(std::vector<std::string> addresses) const;
   void LogRefusal(const std::string& reason);
-  void AnswerSoon(const std::vector<PromptPartId>& parts);
+  void SendReport();
   bool ApplyReply(const net::LeaseReply& reply, config::LeaseRequestId request);
 
   std::shared_ptr<ControlLink> link;
@@ -101,7 +99,8 @@
   bool stopped = false;
   bool was_granted = false;
   bool renew_soon = false;
-  std::vector<PromptPartId> suspect_parts;
+  /// Used only by the client's thread.
+  net::EntryReportReply report_reply;
   config::LeaseHolder holder;
   config::NumberedDocument document;
   /// Reason why the last request was not granted; empty when it was. Used only by the client's
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -6,6 +6,7 @@
 
 #include "control/address_book.h"
 #include "control/durable_file.h"
+#include "control/entry_report_controller.h"
 #include "control/fleet_view.h"
 #include "control/group_formation.h"
 #include "control/group_joiner.h"
@@ -19,7 +20,6 @@
 #include "control/operator_api.h"
 #include "control/outcome_writer.h"
 #include "control/peer_transport.h"
-#include "control/prompt_block_controller.h"
 #include "control/proposer.h"
 #include "control/replica_runner.h"
 #include "control/rollout_controller.h"
@@ -78,7 +78,7 @@
   std::unique_ptr<ReplicatedOperatorAccess> access;
   std::unique_ptr<Upkeep> upkeep;
   std::unique_ptr<RolloutController> rollouts;
-  std::unique_ptr<PromptBlockController> prompt_blocks;
+  std::unique_ptr<EntryReportController> prompt_blocks;
   std::unique_ptr<GroupJoiner> joiner;
   std::unique_ptr<RpcService> rpc;
   std::unique_ptr<OperatorApi> api;
@@ -114,7 +114,7 @@
                                *this->members, *this->fleet, this->addresses, *this->leases);
   this->rollouts = std::make_unique<RolloutController>(*this->replica, this->replicated,
                                                        *this->fleet, *this->access);
-  this->prompt_blocks = std::make_unique<PromptBlockController>(
+  this->prompt_blocks = std::make_unique<EntryReportController>(
       *this->replica, this->replicated, *this->fleet, *this->leases, *this->access);
   this->joiner = std::make_unique<GroupJoiner>(this->options, *this->replica, this->addresses,
                                                *this->formation);
--- a/src/control/prompt_block_controller.cc
+++ b/src/control/entry_report_controller.cc
@@ -1,4 +1,4 @@
-#include "control/prompt_block_controller.h"
+#include "control/entry_report_controller.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr Logger kLog(LogPart::kControl);
-/// Intervals without and with evidence. Without, the reports of the fleet's upkeep are read again.
-constexpr Duration kIdleInterval = milliseconds(250);
+/// Intervals without and with evidence on prompt parts.
+constexpr Duration kIdleInterval = milliseconds(500);
 constexpr Duration kBusyInterval = milliseconds(200);
 /// A block ends by itself after this time, so that a verdict that has become wrong does not last.
 constexpr std::int64_t kBlockLifetimeMs = 60LL * 60 * 1000;
@@ -20,12 +20,13 @@
 constexpr const char* kAuthor = "prompt-guard";
 
 /// Whether an upstream was lost lately.
-bool HasEvidence(const std::vector<net::NodeReport>& reports) {
+bool HasEvidence(const std::vector<net::AgedEntryReport>& reports) {
   constexpr std::int64_t kLatelyMs = 10'000;
-  return std::any_of(reports.begin(), reports.end(), [](const net::NodeReport& report) {
-    return std::any_of(
-        report.prompts.lost.begin(), report.prompts.lost.end(),
-        [&](const routing::LostStart& lost) { return report.age_ms + lost.age_ms <= kLatelyMs; });
+  return std::any_of(reports.begin(), reports.end(), [](const net::AgedEntryReport& aged) {
+    const std::vector<routing::LostStart>& lost = aged.report.prompts.lost;
+    return std::any_of(lost.begin(), lost.end(), [&](const routing::LostStart& start) {
+      return aged.age_ms + start.age_ms <= kLatelyMs;
+    });
   });
 }
 
@@ -36,17 +37,38 @@
 
 }  // namespace
 
-routing::PromptEvidence MergePromptEvidence(const std::vector<net::NodeReport>& reports,
+routing::PromptEvidence MergePromptEvidence(const std::vector<net::AgedEntryReport>& reports,
                                             const routing::PromptSettings& settings) {
   std::vector<routing::AgedPromptReport> aged;
-  for (const net::NodeReport& report : reports) {
-    if (report.role == net::NodeRole::kEntry) {
-      aged.push_back({report.prompts, report.age_ms});
-    }
+  for (const net::AgedEntryReport& report : reports) {
+    aged.push_back({report.report.prompts, report.age_ms});
   }
   return routing::MergePromptReports(aged, settings);
 }
 
+bool AllEntriesReport(const std::vector<net::NodeReport>& nodes,
+                      const std::vector<net::AgedEntryReport>& reports) {
+  const std::int64_t lease_ms = duration_cast<milliseconds>(config::kLeaseLength).count();
+  return std::all_of(nodes.begin(), nodes.end(), [&](const net::NodeReport& node) {
+    return node.role != net::NodeRole::kEntry || node.load_address.empty() ||
+           node.age_ms > lease_ms ||
+           std::any_of(reports.begin(), reports.end(), [&](const net::AgedEntryReport& aged) {
+             return aged.report.node == node.node && aged.report.incarnation == node.incarnation;
+           });
+  });
+}
+
+std::vector<net::EntryDemand> DemandsOf(const std::vector<net::AgedEntryReport>& reports) {
+  constexpr std::int64_t kRecentMs = 5000;
+  std::vector<net::EntryDemand> demands;
+  for (const net::AgedEntryReport& aged : reports) {
+    if (aged.age_ms <= kRecentMs && !aged.report.load_address.empty()) {
+      demands.push_back({aged.report.load_address, aged.report.demand});
+    }
+  }
+  return demands;
+}
+
 routing::BlockedParts BlockedPartsOf(const config::Configuration& configuration, WallTimeMs now) {
   routing::BlockedParts parts;
   for (const auto& [part, block] : configuration.prompt_blocks) {
@@ -80,38 +102,57 @@
   return changes.empty() ? "" : nlohmann::json{{"prompt_blocks", changes}}.dump();
 }
 
-PromptBlockController::PromptBlockController(ReplicaRunner& replica,
+EntryReportController::EntryReportController(ReplicaRunner& replica,
                                              const state::ReplicatedState& state, FleetView& fleet,
                                              LeaseService& leases, OperatorAccess& access)
     : replica(replica), state(state), fleet(fleet), leases(leases), access(access), thread([this] {
         return this->RunOnce();
       }) {}
 
-Duration PromptBlockController::RunOnce() {
+Duration EntryReportController::RunOnce() {
   const config::ConfigurationPtr current = this->state.Configuration();
   const bool is_leader = this->replica.Status().replica.role == consensus::Role::kLeader;
-  const bool has_evidence = HasEvidence(this->fleet.LatestReports());
-  if (!has_evidence) {
-    this->leases.SetSuspectParts({});
-    if (is_leader && this->HasExpired(*current)) {
+  const EntryReports collected = this->fleet.CollectEntryReports();
+  net::EntryReportReply reply{{}, DemandsOf(collected.reports)};
+  if (!HasEvidence(collected.reports)) {
+    this->leases.SetReportReply(std::move(reply));
+    if (is_leader && !PlanPromptBlocks(*current, std::nullopt, this->clock.WallNow()).empty()) {
       this->Commit(std::nullopt);
     }
     return kIdleInterval;
   }
-  routing::PromptEvidence evidence =
-      MergePromptEvidence(this->fleet.CollectReports(), this->settings);
+  routing::PromptEvidence evidence = MergePromptEvidence(collected.reports, this->settings);
   this->ForgetLifted(evidence, *current);
   const routing::BlockedParts blocked = BlockedPartsOf(*current, this->clock.WallNow());
-  this->leases.SetSuspectParts(routing::FindSuspects(evidence, blocked, this->settings));
+  reply.suspect_parts = routing::FindSuspects(evidence, blocked, this->settings);
+  this->leases.SetReportReply(std::move(reply));
   if (is_leader) {
     if (const auto verdict = routing::JudgePromptParts(evidence, blocked, this->settings)) {
-      this->Commit(verdict);
+      this->Block(*verdict, collected);
     }
   }
   return kBusyInterval;
 }
 
-void PromptBlockController::ForgetLifted(routing::PromptEvidence& evidence,
+/// Commits a block unless earlier programs run: they cannot read a configuration with one.
+void EntryReportController::Block(const routing::PartVerdict& verdict,
+                                  const EntryReports& collected) {
+  if (collected.has_older_host ||
+      !AllEntriesReport(this->fleet.CollectReports(), collected.reports)) {
+    kLog.Warning(
+        "A part of prompts under which upstreams end is not blocked, since processes of an "
+        "earlier program run. Upgrade them.",
+        {{"part", verdict.part}});
+    return;
+  }
+  kLog.Warning("Upstreams end under a part of prompts; requests with it are refused.",
+               {{"part", verdict.part},
+                {"lost_upstreams", verdict.lost_upstreams},
+                {"requests", verdict.requests}});
+  this->Commit(verdict);
+}
+
+void EntryReportController::ForgetLifted(routing::PromptEvidence& evidence,
                                          const config::Configuration& current) {
   const TimePoint now = this->clock.Now();
   std::set<PromptPartId> lifted;
@@ -127,17 +168,7 @@
   }
 }
 
-bool PromptBlockController::HasExpired(const config::Configuration& current) const {
-  return !PlanPromptBlocks(current, std::nullopt, this->clock.WallNow()).empty();
-}
-
-void PromptBlockController::Commit(const std::optional<routing::PartVerdict>& verdict) {
-  if (verdict) {
-    kLog.Warning("Upstreams end under a part of prompts; requests with it are refused.",
-                 {{"part", verdict->part},
-                  {"lost_upstreams", verdict->lost_upstreams},
-                  {"requests", verdict->requests}});
-  }
+void EntryReportController::Commit(const std::optional<routing::PartVerdict>& verdict) {
   const ChangeOutcome outcome = this->access.Change(
       [&](const config::Configuration& configuration) {
         const std::string patch = PlanPromptBlocks(configuration, verdict, this->clock.WallNow());
--- a/src/control/prompt_block_controller.h
+++ b/src/control/entry_report_controller.h
@@ -1,5 +1,5 @@
-#ifndef MASTICRILL_CONTROL_PROMPT_BLOCK_CONTROLLER_H_
-#define MASTICRILL_CONTROL_PROMPT_BLOCK_CONTROLLER_H_
+#ifndef MASTICRILL_CONTROL_ENTRY_REPORT_CONTROLLER_H_
+#define MASTICRILL_CONTROL_ENTRY_REPORT_CONTROLLER_H_
 
 #include <map>
 #include <optional>
@@ -17,9 +17,17 @@
 namespace masticrill::control {
 
 /// The evidence of all entries on prompt parts.
-routing::PromptEvidence MergePromptEvidence(const std::vector<net::NodeReport>& reports,
+routing::PromptEvidence MergePromptEvidence(const std::vector<net::AgedEntryReport>& reports,
                                             const routing::PromptSettings& settings);
 
+/// Whether each entry that holds a lease and knows other entries has sent a report. One of an
+/// earlier program sends none.
+bool AllEntriesReport(const std::vector<net::NodeReport>& nodes,
+                      const std::vector<net::AgedEntryReport>& reports);
+
+/// The recent demand of each entry, by which they share the limits of upstreams.
+std::vector<net::EntryDemand> DemandsOf(const std::vector<net::AgedEntryReport>& reports);
+
 /// The parts that are blocked, with the ages of the decisions.
 routing::BlockedParts BlockedPartsOf(const config::Configuration& configuration, WallTimeMs now);
 
@@ -28,12 +36,13 @@
 std::string PlanPromptBlocks(const config::Configuration& current,
                              const std::optional<routing::PartVerdict>& verdict, WallTimeMs now);
 
-/// Finds the parts of prompts under which upstreams end. Every control host asks its entries about
-/// suspect parts; the leader blocks those that the joint evidence condemns. Owns a thread.
-class PromptBlockController {
+/// Joins what entries report. Every control host tells its entries the demand of all, and asks them
+/// about prompt parts under which upstreams may end; the leader blocks those that the joint
+/// evidence condemns. Owns a thread.
+class EntryReportController {
  public:
   /// The arguments must outlive the controller.
-  PromptBlockController(ReplicaRunner& replica, const state::ReplicatedState& state,
+  EntryReportController(ReplicaRunner& replica, const state::ReplicatedState& state,
                         FleetView& fleet, LeaseService& leases, OperatorAccess& access);
   void Stop() { this->thread.Stop(); }
 
@@ -41,8 +50,8 @@
   Duration RunOnce();
   /// Drops the evidence from before the time when this host saw that a block was lifted.
   void ForgetLifted(routing::PromptEvidence& evidence, const config::Configuration& current);
+  void Block(const routing::PartVerdict& verdict, const EntryReports& collected);
   void Commit(const std::optional<routing::PartVerdict>& verdict);
-  bool HasExpired(const config::Configuration& current) const;
 
   ReplicaRunner& replica;
   const state::ReplicatedState& state;
@@ -57,4 +66,4 @@
 
 }  // namespace masticrill::control
 
-#endif  // MASTICRILL_CONTROL_PROMPT_BLOCK_CONTROLLER_H_
+#endif  // MASTICRILL_CONTROL_ENTRY_REPORT_CONTROLLER_H_
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace masticrill::control {
@@ -15,21 +16,24 @@
   std::shared_ptr<net::Exchange> exchange;
 };
 
-std::vector<net::NodeReport> ReadReply(const net::FrameQueue::Next& next) {
-  if (next.status != net::FrameQueue::Status::kFrame || next.frame.type != net::FleetReply::kType) {
-    return {};
+/// The message of a frame; nothing for another frame or one that cannot be read.
+template <typename Message>
+std::optional<Message> ReadMessage(const net::FrameQueue::Next& next) {
+  if (next.status != net::FrameQueue::Status::kFrame || next.frame.type != Message::kType) {
+    return std::nullopt;
   }
   return HandleErrors(
-      [&]() -> Result<std::vector<net::NodeReport>> {
-        BOOST_LEAF_AUTO(reply, net::DecodePayload<net::FleetReply>(next.frame.payload));
-        return std::move(reply.nodes);
+      [&]() -> Result<std::optional<Message>> {
+        BOOST_LEAF_AUTO(message, net::DecodePayload<Message>(next.frame.payload));
+        return std::optional<Message>(std::move(message));
       },
-      [](const Error&) { return std::vector<net::NodeReport>(); });
+      [](const Error&) { return std::optional<Message>(); });
 }
 
 }  // namespace
 
-std::vector<net::NodeReport> FleetView::CollectReports() {
+template <typename Request, typename Visitor>
+void FleetView::AskAll(const Request& request, const Visitor& visit) {
   const TimePoint deadline = this->clock.Now() + kReplyTimeout;
   const auto left = [&] { return std::max(deadline - this->clock.Now(), Duration::zero()); };
   std::vector<std::shared_ptr<net::RpcClient>> clients;
@@ -44,34 +48,49 @@
   }
   std::stable_partition(clients.begin(), clients.end(),
                         [](const auto& client) { return client->Peer().has_value(); });
-  const NodeId self = this->addresses.Credentials().self.node;
   std::vector<PendingCall> calls;
   for (const std::shared_ptr<net::RpcClient>& client : clients) {
     HandleErrors(
         [&]() -> Result<bool> {
-          BOOST_LEAF_AUTO(exchange, client->Open(net::FleetRequest{self}, left()));
+          BOOST_LEAF_AUTO(exchange, client->Open(request, left()));
           calls.push_back({client, exchange});
           return true;
         },
         [](const Error&) { return false; });
   }
-  std::vector<net::NodeReport> reports = this->nodes.Reports(this->clock.Now());
   for (const auto& [client, exchange] : calls) {
-    const std::vector<net::NodeReport> remote = ReadReply(exchange->WaitNext(left()));
+    visit(exchange->WaitNext(left()));
     client->Finish(*exchange);
-    reports.insert(reports.end(), remote.begin(), remote.end());
   }
-  reports = MergeReports(reports);
-  const std::scoped_lock lock(this->mutex);
-  this->latest = reports;
-  return reports;
 }
 
-std::vector<net::NodeReport> FleetView::LatestReports() {
-  std::vector<net::NodeReport> reports = this->nodes.Reports(this->clock.Now());
-  const std::scoped_lock lock(this->mutex);
-  reports.insert(reports.end(), this->latest.begin(), this->latest.end());
-  return reports;
+std::vector<net::NodeReport> FleetView::CollectReports() {
+  std::vector<net::NodeReport> reports;
+  this->AskAll(net::FleetRequest{this->addresses.Credentials().self.node},
+               [&](const net::FrameQueue::Next& next) {
+                 if (const auto reply = ReadMessage<net::FleetReply>(next)) {
+                   reports.insert(reports.end(), reply->nodes.begin(), reply->nodes.end());
+                 }
+               });
+  const std::vector<net::NodeReport> own = this->nodes.Reports(this->clock.Now());
+  reports.insert(reports.end(), own.begin(), own.end());
+  return MergeReports(reports);
+}
+
+EntryReports FleetView::CollectEntryReports() {
+  EntryReports collected;
+  std::vector<net::AgedEntryReport> reports;
+  this->AskAll(net::EntryReportsRequest{this->addresses.Credentials().self.node},
+               [&](const net::FrameQueue::Next& next) {
+                 if (const auto reply = ReadMessage<net::EntryReportsReply>(next)) {
+                   reports.insert(reports.end(), reply->reports.begin(), reply->reports.end());
+                 }
+                 collected.has_older_host |= ReadMessage<net::ErrorReply>(next).has_value();
+               });
+  const std::vector<net::AgedEntryReport> own = this->nodes.EntryReports(this->clock.Now());
+  reports.insert(reports.end(), own.begin(), own.end());
+  collected.reports = MergeReports(reports);
+  return collected;
 }
 
 }  // namespace masticrill::control
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -2,7 +2,6 @@
 #define MASTICRILL_CONTROL_FLEET_VIEW_H_
 
 #include <atomic>
-#include <mutex>
 #include <vector>
 
 #include "control/address_book.h"
@@ -10,6 +9,13 @@
 
 namespace masticrill::control {
 
+/// The last reports of all entries, as far as control hosts were reached.
+struct EntryReports {
+  std::vector<net::AgedEntryReport> reports;
+  /// A control host of an earlier program runs, which takes no such reports.
+  bool has_older_host = false;
+};
+
 /// Collects the reports of all reachable control hosts on their nodes. Thread-safe.
 class FleetView {
  public:
@@ -20,17 +26,21 @@
   /// Takes at most kReplyTimeout, also when many hosts are down; those that do not reply are left
   /// out.
   std::vector<net::NodeReport> CollectReports();
-  /// The result of the last CollectReports, with the current reports of this host.
-  std::vector<net::NodeReport> LatestReports();
+  /// The same for the reports that entries have sent beside their lease requests.
+  EntryReports CollectEntryReports();
+  /// The nodes that request leases from this host.
+  std::vector<net::NodeReport> OwnReports() { return this->nodes.Reports(this->clock.Now()); }
 
  private:
+  /// Sends the request to all other control hosts and passes on what comes back in time.
+  template <typename Request, typename Visitor>
+  void AskAll(const Request& request, const Visitor& visit);
+
   NodeRegistry& nodes;
   AddressBook& addresses;
   SystemClock clock;
   /// Number of calls of CollectReports.
   std::atomic<std::size_t> rounds = 0;
-  std::mutex mutex;
-  std::vector<net::NodeReport> latest;
 };
 
 }  // namespace masticrill::control
--- a/src/control/lease_service.cc
+++ b/src/control/lease_service.cc
@@ -84,9 +84,15 @@
   this->fleet = std::move(info);
 }
 
-void LeaseService::SetSuspectParts(std::vector<PromptPartId> parts) {
+net::EntryReportReply LeaseService::HandleReport(const net::EntryReport& report) {
+  this->nodes.RecordReport(report, this->clock.Now());
   const std::scoped_lock lock(this->fleet_mutex);
-  this->suspect_parts = std::move(parts);
+  return this->report_reply;
+}
+
+void LeaseService::SetReportReply(net::EntryReportReply reply) {
+  const std::scoped_lock lock(this->fleet_mutex);
+  this->report_reply = std::move(reply);
 }
 
 net::LeaseReply LeaseService::Refuse(LeaseDecision decision) const {
@@ -98,9 +104,7 @@
           .entry_count = 0,
           .control_hosts = {},
           .load_addresses = {},
-          .demands = {},
-          .list = {},
-          .suspect_parts = {}};
+          .list = {}};
 }
 
 net::LeaseReply LeaseService::Decide(const net::LeaseRequest& request,
@@ -131,16 +135,12 @@
                         .entry_count = 0,
                         .control_hosts = {},
                         .load_addresses = {},
-                        .demands = {},
-                        .list = {},
-                        .suspect_parts = {}};
+                        .list = {}};
   {
     const std::scoped_lock lock(this->fleet_mutex);
     reply.entry_count = this->fleet.entry_count;
     reply.control_hosts = this->fleet.control_hosts;
     reply.load_addresses = this->fleet.load_addresses;
-    reply.demands = this->fleet.demands;
-    reply.suspect_parts = this->suspect_parts;
   }
   reply.list = this->lists.Read(request.known_list_version);
   if (request.known_number != number) {
--- a/src/control/lease_service.h
+++ b/src/control/lease_service.h
@@ -41,8 +41,6 @@
   std::vector<std::string> control_hosts;
   /// Addresses at which entries receive load notices.
   std::vector<std::string> load_addresses;
-  /// The demand of the entry at each of these addresses.
-  std::vector<std::uint32_t> demands;
 };
 
 /// Grants configuration leases to nodes while there is recent evidence of a leader with a quorum.
@@ -61,8 +59,9 @@
   /// Sets the fleet information of the following replies.
   void SetFleet(FleetInfo info);
 
-  /// Sets the prompt parts that the following replies ask entries to answer for.
-  void SetSuspectParts(std::vector<PromptPartId> parts);
+  /// Answers an entry's report with what was set last.
+  net::EntryReportReply HandleReport(const net::EntryReport& report);
+  void SetReportReply(net::EntryReportReply reply);
 
   void StopGranting() { this->stopping = true; }
   /// Ends the evidence thread. Pending reads may still call back on the replica's thread.
@@ -93,7 +92,7 @@
   EnumCounter<LeaseDecision, kAllLeaseDecisions.size()> decisions{kAllLeaseDecisions};
   mutable std::mutex fleet_mutex;
   FleetInfo fleet;
-  std::vector<PromptPartId> suspect_parts;
+  net::EntryReportReply report_reply;
   std::shared_ptr<Evidence> evidence = std::make_shared<Evidence>();
   PeriodicThread evidence_thread;
 };
--- a/src/control/node_registry.cc
+++ b/src/control/node_registry.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kRetention = std::chrono::hours(1);
+/// The evidence of an entry that is gone is of use for about a minute.
+constexpr Duration kReportRetention = seconds(60);
 
 Duration AgeOf(const net::NodeReport& report) { return milliseconds(report.age_ms); }
 
@@ -45,14 +47,49 @@
                          .age_ms = duration_cast<milliseconds>(now - last.received_at).count(),
                          .control_host = this->control_host,
                          .rollouts = last.request.rollouts,
-                         .load_address = last.request.load_address,
-                         .prompts = last.request.prompts,
-                         .demand = last.request.demand});
+                         .load_address = last.request.load_address});
     }
   }
   return reports;
 }
 
+void NodeRegistry::RecordReport(const net::EntryReport& report, TimePoint now) {
+  Shard& shard = this->shards.at(std::hash<NodeId>{}(report.node) % kShardCount);
+  const std::scoped_lock lock(shard.mutex);
+  shard.reports.insert_or_assign(NodeIncarnation{report.node, report.incarnation},
+                                 LastReport{report, now});
+}
+
+std::vector<net::AgedEntryReport> NodeRegistry::EntryReports(TimePoint now) {
+  std::vector<net::AgedEntryReport> reports;
+  for (Shard& shard : this->shards) {
+    const std::scoped_lock lock(shard.mutex);
+    std::erase_if(shard.reports, [&](const auto& entry) {
+      return now - entry.second.received_at > kReportRetention;
+    });
+    for (const auto& [incarnation, last] : shard.reports) {
+      reports.push_back({last.report, duration_cast<milliseconds>(now - last.received_at).count()});
+    }
+  }
+  return reports;
+}
+
+std::vector<net::AgedEntryReport> MergeReports(const std::vector<net::AgedEntryReport>& reports) {
+  std::map<NodeIncarnation, net::AgedEntryReport> merged;
+  for (const net::AgedEntryReport& aged : reports) {
+    const auto [place, added] =
+        merged.try_emplace({aged.report.node, aged.report.incarnation}, aged);
+    if (!added && aged.age_ms < place->second.age_ms) {
+      place->second = aged;
+    }
+  }
+  std::vector<net::AgedEntryReport> result;
+  for (const auto& [incarnation, aged] : merged) {
+    result.push_back(aged);
+  }
+  return result;
+}
+
 std::vector<net::NodeReport> MergeReports(const std::vector<net::NodeReport>& reports) {
   std::map<NodeIncarnation, net::NodeReport> merged;
   for (const net::NodeReport& report : reports) {
--- a/src/control/node_registry.h
+++ b/src/control/node_registry.h
@@ -29,8 +29,11 @@
   explicit NodeRegistry(NodeId control_host) : control_host(std::move(control_host)) {}
 
   void Record(const net::LeaseRequest& request, TimePoint now);
+  void RecordReport(const net::EntryReport& report, TimePoint now);
   /// One report for each incarnation of each node. Drops those without a request for kRetention.
   std::vector<net::NodeReport> Reports(TimePoint now);
+  /// The last report of each incarnation of an entry. Drops those older than kReportRetention.
+  std::vector<net::AgedEntryReport> EntryReports(TimePoint now);
 
  private:
   static constexpr std::size_t kShardCount = 16;
@@ -38,9 +41,14 @@
     net::LeaseRequest request;
     TimePoint received_at;
   };
+  struct LastReport {
+    net::EntryReport report;
+    TimePoint received_at;
+  };
   struct Shard {
     std::mutex mutex;
     std::map<NodeIncarnation, LastRequest> nodes;
+    std::map<NodeIncarnation, LastReport> reports;
   };
 
   NodeId control_host;
@@ -49,6 +57,7 @@
 
 /// Merges the reports of several control hosts; keeps the most recent one for each incarnation.
 std::vector<net::NodeReport> MergeReports(const std::vector<net::NodeReport>& reports);
+std::vector<net::AgedEntryReport> MergeReports(const std::vector<net::AgedEntryReport>& reports);
 
 /// The latest incarnation of each node.
 std::vector<net::NodeReport> LatestIncarnations(const std::vector<net::NodeReport>& reports);
--- a/src/control/rpc_service.cc
+++ b/src/control/rpc_service.cc
@@ -47,6 +47,11 @@
       channel->Send(frame.correlation, this->parts.leases.Handle(request));
       return {};
     }
+    case net::MessageType::kEntryReport: {
+      BOOST_LEAF_AUTO(report, net::DecodePayload<net::EntryReport>(frame.payload));
+      channel->Send(frame.correlation, this->parts.leases.HandleReport(report));
+      return {};
+    }
     case net::MessageType::kProposeRequest:
       return this->Propose(channel, frame);
     case net::MessageType::kConsensus:
@@ -54,6 +59,7 @@
     case net::MessageType::kFleetRequest:
     case net::MessageType::kMemberRequest:
     case net::MessageType::kSharedListRequest:
+    case net::MessageType::kEntryReportsRequest:
       if (channel->Peer().role == net::NodeRole::kControl) {
         return this->AnswerReplica(channel, frame);
       }
@@ -80,6 +86,11 @@
                   net::FleetReply{this->parts.nodes.Reports(SystemClock().Now())});
     return {};
   }
+  if (frame.type == net::MessageType::kEntryReportsRequest) {
+    channel->Send(frame.correlation,
+                  net::EntryReportsReply{this->parts.nodes.EntryReports(SystemClock().Now())});
+    return {};
+  }
   if (frame.type == net::MessageType::kSharedListRequest) {
     BOOST_LEAF_AUTO(asked, net::DecodePayload<net::SharedListRequest>(frame.payload));
     channel->Send(frame.correlation,
--- a/src/control/upkeep.cc
+++ b/src/control/upkeep.cc
@@ -92,7 +92,6 @@
     ++info.entry_count;
     if (!report.load_address.empty()) {
       info.load_addresses.push_back(report.load_address);
-      info.demands.push_back(report.demand);
     }
   }
   const consensus::Membership membership = this->replica.Status().replica.membership;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <utility>
 
@@ -167,9 +168,11 @@
   node::LeaseClient::Options extras;
   extras.renew_interval = this->options.renew_interval;
   extras.report_rollouts = [this] { return this->ReportRollouts(); };
-  extras.report_prompts = [this] { return this->prompts.Report(this->clock.Now()); };
-  extras.report_demand = [this] {
-    return this->demand.Read(this->metrics.received, this->clock.Now());
+  extras.make_report = [this] {
+    net::EntryReport report;
+    report.demand = this->demand.Read(this->metrics.received, this->clock.Now());
+    report.prompts = this->prompts.Report(this->clock.Now());
+    return report;
   };
   extras.load_address = this->options.load_address;
   extras.on_list = [this](const std::string& bytes, Duration age) {
@@ -180,7 +183,8 @@
       [this](const config::ConfigurationPtr& configuration, const node::LeaseUpdate& news) {
         this->pool.SetEntryPosition({news.entry_rank, news.entry_count});
         this->pool.SetRequestTurns(this->MakeTurns(news));
-        this->prompts.OnLease(BlockedParts(*configuration), news.suspect_parts, this->clock.Now());
+        this->prompts.OnLease(BlockedParts(*configuration), news.report_reply.suspect_parts,
+                              this->clock.Now());
         this->OnLease(configuration);
       },
       std::move(extras));
@@ -309,11 +313,15 @@
   return reports;
 }
 
+/// The entries that hold leases share the limits of upstreams, weighted by their demands.
 RequestTurns GatewayServer::State::MakeTurns(const node::LeaseUpdate& news) const {
+  std::map<std::string, std::uint32_t> demands;
+  for (const net::EntryDemand& entry : news.report_reply.demands) {
+    demands[entry.load_address] = entry.demand;
+  }
   std::vector<EntryShare> entries;
-  for (std::size_t index = 0; index < news.load_addresses.size(); ++index) {
-    entries.push_back(
-        {news.load_addresses[index], index < news.demands.size() ? news.demands[index] : 0});
+  for (const std::string& address : news.load_addresses) {
+    entries.push_back({address, demands[address]});
   }
   return {this->options.load_address, std::move(entries)};
 }
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -21,31 +21,57 @@
 /// The length of the signature in front of each notice, in hexadecimal digits.
 constexpr std::size_t kSignatureBytes = 16;
 
+/// Begins the datagrams of limits. A load notice begins with a hexadecimal digit.
+constexpr std::string_view kLimitsMark = "L";
+
 std::string SignatureOf(std::string_view payload, const std::string& shared_secret) {
   return HmacSha256Hex(shared_secret, payload).substr(0, kSignatureBytes);
 }
 
-}  // namespace
-
-std::string EncodeNotice(const LoadNotice& notice, const std::string& shared_secret) {
+template <typename Notice>
+std::string Encode(const Notice& notice, const std::string& shared_secret) {
   const std::string payload = EncodeBytes(notice);
   return SignatureOf(payload, shared_secret) + payload;
 }
 
-Result<LoadNotice> DecodeNotice(const std::string& datagram, const std::string& shared_secret) {
+template <typename Notice>
+Result<Notice> Decode(const std::string& datagram, const std::string& shared_secret) {
   if (datagram.size() < kSignatureBytes) {
     return Fail(ErrorKind::kMalformedMessage,
-                "The datagram is shorter than the signature of a load notice.");
+                "The datagram is shorter than the signature of a notice.");
   }
   const std::string payload = datagram.substr(kSignatureBytes);
   if (!ConstantTimeEqual(datagram.substr(0, kSignatureBytes),
                          SignatureOf(payload, shared_secret))) {
     return Fail(ErrorKind::kUnauthenticated,
-                "The signature of a load notice does not match the shared secret.");
+                "The signature of a notice does not match the shared secret.");
+  }
+  return DecodeBytes<Notice>(payload);
+}
+
+}  // namespace
+
+std::string EncodeNotice(const LoadNotice& notice, const std::string& shared_secret) {
+  return Encode(notice, shared_secret);
+}
+
+Result<LoadNotice> DecodeNotice(const std::string& datagram, const std::string& shared_secret) {
+  return Decode<LoadNotice>(datagram, shared_secret);
+}
+
+std::string EncodeLimits(const LimitNotice& notice, const std::string& shared_secret) {
+  return std::string(kLimitsMark) + Encode(notice, shared_secret);
+}
+
+Result<LimitNotice> DecodeLimits(const std::string& datagram, const std::string& shared_secret) {
+  if (!IsLimitNotice(datagram)) {
+    return Fail(ErrorKind::kMalformedMessage, "The datagram is no notice of limits.");
   }
-  return DecodeBytes<LoadNotice>(payload);
+  return Decode<LimitNotice>(datagram.substr(kLimitsMark.size()), shared_secret);
 }
 
+bool IsLimitNotice(std::string_view datagram) { return datagram.starts_with(kLimitsMark); }
+
 std::vector<std::string> ChoosePeers(const std::string& own_address,
                                      std::vector<std::string> addresses, std::size_t count) {
   std::erase(addresses, own_address);
@@ -62,7 +88,10 @@
 
   void Run();
   void Receive();
+  Result<bool> Apply(const std::string& datagram);
   void SendNotice();
+  void SendLimits(const std::vector<std::string>& receivers, bool forwards);
+  void Send(const std::string& datagram, const std::vector<std::string>& receivers);
 
   LoadExchangeOptions options;
   UpstreamPool& pool;
@@ -106,40 +135,59 @@
   const int size =
       this->socket.receiveFrom(datagram.data(), static_cast<int>(datagram.size()), sender);
   datagram.resize(static_cast<std::size_t>(std::max(size, 0)));
-  HandleErrors(
-      [&]() -> Result<bool> {
-        BOOST_LEAF_AUTO(notice, DecodeNotice(datagram, this->options.shared_secret));
-        std::uint64_t& last = this->last_sequences[notice.sender];
-        if (notice.sequence <= last) {
-          return false;
-        }
-        last = notice.sequence;
-        this->pool.SetPeerWork(notice.sender, std::move(notice.work), this->clock.Now());
-        this->pool.OnPeerLimits(notice.limits, this->clock.Now());
-        return true;
-      },
-      [&](const Error& error) {
-        if (!std::exchange(this->rejection_logged, true)) {
-          kLog.Warning("A load notice was rejected; further ones are not logged.",
-                       {{"sender", sender.toString()}, {"cause", error.message}});
-        }
-        return false;
-      });
+  HandleErrors([&] { return this->Apply(datagram); },
+               [&](const Error& error) {
+                 if (!std::exchange(this->rejection_logged, true)) {
+                   kLog.Warning("A load notice was rejected; further ones are not logged.",
+                                {{"sender", sender.toString()}, {"cause", error.message}});
+                 }
+                 return false;
+               });
+}
+
+/// Passes the content of a datagram to the pool; false for a load notice that comes after a later
+/// one.
+Result<bool> LoadExchange::State::Apply(const std::string& datagram) {
+  if (IsLimitNotice(datagram)) {
+    BOOST_LEAF_AUTO(news, DecodeLimits(datagram, this->options.shared_secret));
+    this->pool.OnPeerLimits(news.limits, this->clock.Now());
+    return true;
+  }
+  BOOST_LEAF_AUTO(notice, DecodeNotice(datagram, this->options.shared_secret));
+  std::uint64_t& last = this->last_sequences[notice.sender];
+  if (notice.sequence <= last) {
+    return false;
+  }
+  last = notice.sequence;
+  this->pool.SetPeerWork(notice.sender, std::move(notice.work), this->clock.Now());
+  return true;
 }
 
 /// Sends this host's work to its peers. After the last work has ended, sends one empty notice.
 void LoadExchange::State::SendNotice() {
   const std::vector<std::string> all = this->peers();
+  const std::vector<std::string> receivers =
+      ChoosePeers(this->options.address, all, this->options.max_peers);
   // Where not every entry hears every other one, news of limits is passed on.
-  const bool forwards = all.size() > this->options.max_peers + 1;
-  LoadNotice notice{this->options.node, ++this->sequence, this->pool.OwnWork(),
-                    this->pool.RecentLimits(forwards, this->clock.Now())};
-  if (notice.work.empty() && notice.limits.empty() && !std::exchange(this->had_work, false)) {
+  this->SendLimits(receivers, all.size() > this->options.max_peers + 1);
+  const LoadNotice notice{this->options.node, ++this->sequence, this->pool.OwnWork()};
+  if (notice.work.empty() && !std::exchange(this->had_work, false)) {
     return;
   }
   this->had_work = !notice.work.empty();
-  const std::string datagram = EncodeNotice(notice, this->options.shared_secret);
-  for (const std::string& peer : ChoosePeers(this->options.address, all, this->options.max_peers)) {
+  this->Send(EncodeNotice(notice, this->options.shared_secret), receivers);
+}
+
+void LoadExchange::State::SendLimits(const std::vector<std::string>& receivers, bool forwards) {
+  const LimitNotice news{this->options.node, this->pool.RecentLimits(forwards, this->clock.Now())};
+  if (!news.limits.empty()) {
+    this->Send(EncodeLimits(news, this->options.shared_secret), receivers);
+  }
+}
+
+void LoadExchange::State::Send(const std::string& datagram,
+                               const std::vector<std::string>& receivers) {
+  for (const std::string& peer : receivers) {
     try {
       this->socket.sendTo(datagram.data(), static_cast<int>(datagram.size()),
                           Poco::Net::SocketAddress(peer));
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -23,13 +24,24 @@
   /// sender are not dropped as old.
   std::uint64_t sequence = 0;
   std::vector<UpstreamWork> work;
-  /// The limits of upstreams that the sender knows newly.
-  std::vector<StatedLimit> limits = {};
 
   friend bool operator==(const LoadNotice&, const LoadNotice&) = default;
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(this->sender, this->sequence, this->work, this->limits);
+    archive(this->sender, this->sequence, this->work);
+  }
+};
+
+/// News of the limits that upstreams state, in a datagram of its own: entries of an earlier program
+/// reject it and still take load notices.
+struct LimitNotice {
+  NodeId sender;
+  std::vector<StatedLimit> limits;
+
+  friend bool operator==(const LimitNotice&, const LimitNotice&) = default;
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->sender, this->limits);
   }
 };
 
@@ -37,6 +49,11 @@
 /// kUnauthenticated.
 std::string EncodeNotice(const LoadNotice& notice, const std::string& shared_secret);
 Result<LoadNotice> DecodeNotice(const std::string& datagram, const std::string& shared_secret);
+/// The same for news of limits, which are signed otherwise.
+std::string EncodeLimits(const LimitNotice& notice, const std::string& shared_secret);
+Result<LimitNotice> DecodeLimits(const std::string& datagram, const std::string& shared_secret);
+/// Whether the datagram is a LimitNotice. Its signature is not checked.
+bool IsLimitNotice(std::string_view datagram);
 
 /// Chooses the entries to which an entry sends its notices: at most `count`, so that its traffic
 /// stays bounded in a large fleet. A rendezvous hash spreads the choices over the fleet.
--- a/src/node/lease_client.cc
+++ b/src/node/lease_client.cc
@@ -98,12 +98,6 @@
   if (this->options.report_rollouts) {
     request.rollouts = this->options.report_rollouts();
   }
-  if (this->options.report_prompts) {
-    request.prompts = this->options.report_prompts();
-  }
-  if (this->options.report_demand) {
-    request.demand = this->options.report_demand();
-  }
   config::LeaseRequestId request_id = 0;
   {
     const std::lock_guard lock(this->mutex);
@@ -140,12 +134,24 @@
   return static_cast<std::uint32_t>(place - addresses.begin());
 }
 
-/// Sends the next report soon if it has to answer for other parts than the last one.
-void LeaseClient::AnswerSoon(const std::vector<PromptPartId>& parts) {
-  if (parts != this->suspect_parts) {
-    this->suspect_parts = parts;
+/// Sends the report beside the lease request. A control host that does not take it is no reason to
+/// turn to another one: leases come from it all the same.
+void LeaseClient::SendReport() {
+  if (!this->options.make_report) {
+    return;
+  }
+  net::EntryReport report = this->options.make_report();
+  report.node = this->self.node;
+  report.incarnation = this->self.incarnation;
+  report.load_address = this->options.load_address;
+  net::EntryReportReply reply = HandleErrors(
+      [&] { return this->link->Current()->Call<net::EntryReportReply>(report, kCallTimeout); },
+      [](const Error&) { return net::EntryReportReply{}; });
+  // Other parts to answer for are answered for at once.
+  if (reply.suspect_parts != this->report_reply.suspect_parts) {
     this->RenewSoon();
   }
+  this->report_reply = std::move(reply);
 }
 
 bool LeaseClient::ApplyReply(const net::LeaseReply& reply, config::LeaseRequestId request) {
@@ -204,10 +210,10 @@
   }
   if (valid_until) {
     this->on_lease(current, {*valid_until, std::max<std::uint32_t>(reply.entry_count, 1),
-                             this->RankOfThisEntry(reply.load_addresses), reply.suspect_parts,
-                             reply.load_addresses, reply.demands});
+                             this->RankOfThisEntry(reply.load_addresses), reply.load_addresses,
+                             this->report_reply});
+    this->SendReport();
   }
-  this->AnswerSoon(reply.suspect_parts);
   return true;
 }
 
--- a/test/control/prompt_block_plan_test.cc
+++ b/test/control/prompt_block_plan_test.cc
@@ -3,8 +3,9 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
-#include "control/prompt_block_controller.h"
+#include "control/entry_report_controller.h"
 
 namespace masticrill::control {
 namespace {
@@ -65,13 +66,43 @@
         routing::BlockedParts{{PromptPartId("a"), 700}, {PromptPartId("c"), 0}});
 }
 
-TEST_CASE("reports of nodes other than entries are no evidence") {
-  net::NodeReport report;
-  report.prompts.lost.push_back({1, 2, {PromptPartId("a")}, true, false, 100});
-  report.age_ms = 50;
-  CHECK(MergePromptEvidence({report}, {}).lost.at(0).age_ms == 150);
-  report.role = net::NodeRole::kSidecar;
-  CHECK(MergePromptEvidence({report}, {}).lost.empty());
+TEST_CASE("ages of evidence count from now, however old the report is") {
+  net::AgedEntryReport aged;
+  aged.report.prompts.lost.push_back({1, 2, {PromptPartId("a")}, true, false, 100});
+  aged.age_ms = 50;
+  CHECK(MergePromptEvidence({aged}, {}).lost.at(0).age_ms == 150);
+}
+
+// Guards against a configuration with a block that processes of an earlier program cannot read.
+TEST_CASE("an entry of an earlier program, which sends no reports, is noticed") {
+  const auto node = [](const std::string& name, std::int64_t age_ms,
+                       net::NodeRole role = net::NodeRole::kEntry) {
+    net::NodeReport report;
+    report.node = NodeId(name);
+    report.role = role;
+    report.load_address = "10.0.0.1:7000";
+    report.age_ms = age_ms;
+    return report;
+  };
+  net::AgedEntryReport reported;
+  reported.report.node = NodeId("new");
+  CHECK(AllEntriesReport({node("new", 100)}, {reported}));
+  CHECK_FALSE(AllEntriesReport({node("new", 100), node("old", 100)}, {reported}));
+  // One that is gone holds up no verdict, and sidecars send no reports.
+  CHECK(AllEntriesReport({node("new", 100), node("old", 60'000)}, {reported}));
+  CHECK(AllEntriesReport({node("new", 100), node("s", 100, net::NodeRole::kSidecar)}, {reported}));
+}
+
+TEST_CASE("only recent reports tell the demand of an entry") {
+  const auto report = [](const std::string& address, std::uint32_t demand, std::int64_t age_ms) {
+    net::AgedEntryReport aged;
+    aged.report.load_address = address;
+    aged.report.demand = demand;
+    aged.age_ms = age_ms;
+    return aged;
+  };
+  CHECK(DemandsOf({report("a:1", 5, 100), report("b:1", 7, 60'000), report("", 9, 100)}) ==
+        std::vector<net::EntryDemand>{{"a:1", 5}});
 }
 
 }  // namespace
--- a/test/control/prompt_blocks_fleet_test.cc
+++ b/test/control/prompt_blocks_fleet_test.cc
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "control/prompt_block_controller.h"
+#include "control/entry_report_controller.h"
 #include "masticrill/common/random.h"
 #include "masticrill/gateway/prompt_guard.h"
 
@@ -254,12 +254,11 @@
     if (this->IsCutOff(index) || this->random.Uniform() < this->scenario.lost_reports) {
       return;
     }
-    net::LeaseRequest request;
-    request.node = NodeId("e" + std::to_string(index));
-    request.incarnation = IncarnationId(std::to_string(entry.starts));
-    request.started_at_ms = static_cast<std::uint64_t>(entry.starts);
-    request.prompts = entry.guard->Report(At(this->now));
-    this->nodes.Record(request, At(this->now));
+    net::EntryReport report;
+    report.node = NodeId("e" + std::to_string(index));
+    report.incarnation = IncarnationId(std::to_string(entry.starts));
+    report.prompts = entry.guard->Report(At(this->now));
+    this->nodes.RecordReport(report, At(this->now));
     std::set<PromptPartId> parts;
     for (const auto& [part, at] : this->blocked) {
       parts.insert(part);
@@ -269,7 +268,7 @@
 
   void Control() {
     const routing::PromptEvidence evidence =
-        MergePromptEvidence(this->nodes.Reports(At(this->now)), this->settings);
+        MergePromptEvidence(this->nodes.EntryReports(At(this->now)), this->settings);
     routing::BlockedParts known;
     for (const auto& [part, at] : this->blocked) {
       known.emplace(part, this->now - at);
--- a/test/gateway/load_exchange_test.cc
+++ b/test/gateway/load_exchange_test.cc
@@ -35,6 +35,23 @@
   }
 }
 
+TEST_CASE("news of limits decodes to what was encoded, and is no load notice") {
+  const LimitNotice news{NodeId("entry-1"), {{7, 2.5F, 300}, {9, -1, 40}}};
+  const std::string datagram = EncodeLimits(news, "secret");
+  const auto decoded = [](const std::string& bytes) {
+    return HandleErrors([&] { return DecodeLimits(bytes, "secret"); },
+                        [](const Error&) { return LimitNotice{}; });
+  };
+  CHECK(IsLimitNotice(datagram));
+  CHECK(decoded(datagram) == news);
+  CHECK(decoded(EncodeLimits(news, "other secret")) == LimitNotice{});
+  CHECK(decoded(datagram.substr(0, datagram.size() - 1)) == LimitNotice{});
+  CHECK(decoded("") == LimitNotice{});
+  // An entry of an earlier program reads all datagrams as load notices.
+  CHECK_FALSE(IsAccepted(datagram, LoadNotice{NodeId("entry-1"), 0, {}}));
+  CHECK_FALSE(IsLimitNotice(EncodeNotice({NodeId("entry-1"), 7, {}}, "secret")));
+}
+
 TEST_CASE("a notice takes few bytes for each upstream, so that it can be sent often") {
   // Pattern: a large fleet in which every entry has work at every upstream, and sends a notice at
   // each `LoadExchangeOptions::interval`.
