--- /dev/null
+++ b/src/gateway/call_answer.cc
@@ -0,0 +1,235 @@
+// The part of CallRunner that relays an upstream's answer, or discards it.
+#include <atomic>
+#include <utility>
+
+#include "gateway/call_runner.h"
+#include "gateway/call_status.h"
+#include "masticrill/common/log.h"
+
+namespace masticrill::gateway {
+namespace {
+
+constexpr Logger kLog(LogPart::kGateway);
+constexpr int kFirstServerError = 500;
+
+bool IsSuccess(int status) {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+/// The part of one answer in the bytes that all answers of the gateway have buffered.
+class BufferedBytes {
+ public:
+  explicit BufferedBytes(std::atomic<std::size_t>& total) : total(total) {}
+  ~BufferedBytes() { this->total -= this->own; }
+  BufferedBytes(const BufferedBytes&) = delete;
+  BufferedBytes& operator=(const BufferedBytes&) = delete;
+
+  void Add(std::size_t bytes) {
+    this->own += bytes;
+    this->total += bytes;
+  }
+  std::size_t Total() const { return this->total; }
+
+ private:
+  std::atomic<std::size_t>& total;
+  std::size_t own = 0;
+};
+
+}  // namespace
+
+/// Records the result of an attempt for the health of its upstream and the evidence on its version.
+void CallRunner::RecordVerdict(UpstreamAttempt& attempt, bool good) {
+  attempt.SetVerdict(good ? AttemptVerdict::kSuccess : AttemptVerdict::kFailure);
+  const ListedUpstream& upstream = attempt.Upstream();
+  routing::AttemptResult result;
+  result.outcome = good ? routing::AttemptOutcome::kAnswered : routing::AttemptOutcome::kFailed;
+  this->context.evidence.Add({ModelId(upstream.service.Value()), upstream.version},
+                             upstream.failure_domain, result);
+}
+
+void CallRunner::RecordLostStart(const UpstreamAttempt& attempt) {
+  const TimePoint now = this->clock.Now();
+  const std::optional<Duration> age =
+      attempt.AnswerBegun() ? std::optional(attempt.AnswerAge(now)) : std::nullopt;
+  if (!age || *age < this->context.prompts.Settings().survival_time) {
+    ++this->context.metrics.early_breaks;
+  }
+  this->context.prompts.OnLost(attempt.Upstream(), this->metadata.request, this->shared_parts, age,
+                               now);
+}
+
+void CallRunner::RecordSurvival(const UpstreamAttempt& attempt, bool is_complete) {
+  const TimePoint now = this->clock.Now();
+  const Duration age = attempt.AnswerAge(now);
+  if (this->survival_recorded || this->shared_parts.empty() ||
+      (!is_complete && age < this->context.prompts.Settings().survival_time)) {
+    return;
+  }
+  this->survival_recorded = true;
+  this->context.prompts.OnSurvived(this->shared_parts, now - age, now);
+}
+
+/// Records the time to the start of an answer as evidence on its version.
+void CallRunner::RecordFirstToken(const UpstreamAttempt& attempt) {
+  const ListedUpstream& upstream = attempt.Upstream();
+  const WorkEstimate work = this->EstimateWork();
+  this->context.evidence.AddFirstToken(
+      {ModelId(upstream.service.Value()), upstream.version}, upstream.failure_domain,
+      routing::GroupOf(this->route->id.Value(), work.shared + work.own), attempt.AnswerLatency());
+}
+
+CallRunner::NextStep CallRunner::OnAnswer(UpstreamAttempt& attempt) {
+  const int status = attempt.Head().status;
+  this->may_have_run = true;
+  const bool failed = status >= kFirstServerError;
+  if (failed) {
+    this->RecordVerdict(attempt, false);
+    // Where a second run is harmless, another upstream may succeed.
+    if (this->route->Repeatable() && !this->caller.Begun()) {
+      const routing::RetryDecision decision =
+          this->TakeRetry(routing::HandOverState::kMayHaveRun, this->attempts);
+      this->context.metrics.retries.Add(decision.reason);
+      if (decision.retry) {
+        kLog.Info("An upstream answered with a server error; retrying elsewhere.",
+                  {{"request", this->metadata.request},
+                   {"upstream", attempt.Upstream().id},
+                   {"status", status}});
+        return NextStep::kTryAgain;
+      }
+    }
+  }
+  if (this->caller.Begun() && !IsSuccess(status)) {
+    return this->RetryOrRefuse(attempt, AttemptEnd::kBroken, RefusalKind::kAnswerInterrupted);
+  }
+  if (IsSuccess(status)) {
+    this->context.lateness.Add(this->service, attempt.AnswerLatency(), this->route->latency_target,
+                               this->clock.Now());
+    this->RecordFirstToken(attempt);
+  }
+  if (IsSuccess(status) && !this->caller.Begun() && this->ShouldEscalate(attempt)) {
+    attempt.SetVerdict(AttemptVerdict::kSuccess);
+    this->context.prompts.OnDiscarded(attempt.Upstream(), this->metadata.request,
+                                      this->shared_parts, this->clock.Now());
+    ++this->context.metrics.escalated;
+    this->model_index = this->route->models.size() - 1;
+    this->tried.clear();
+    return NextStep::kTryAgain;
+  }
+  if (this->route->kind == RouteKind::kStream && IsSuccess(status)) {
+    return this->RelayStream(attempt);
+  }
+  return this->RelayWhole(attempt);
+}
+
+double CallRunner::ConfidenceTarget() const {
+  const auto& targets = this->context.settings.confidence_targets;
+  return ConfidenceTargetUnderLoad(
+      targets.at(std::min<std::size_t>(this->route->rank, targets.size() - 1)),
+      this->context.lateness.Read(this->service, this->clock.Now()));
+}
+
+/// Whether the answer, of which the caller has received nothing yet, is discarded for a stronger
+/// model's.
+bool CallRunner::ShouldEscalate(const UpstreamAttempt& attempt) {
+  const std::optional<double> confidence = attempt.Metadata().confidence;
+  if (!this->metadata.any_model || this->model_index + 1 >= this->route->models.size() ||
+      !confidence || *confidence >= this->ConfidenceTarget() ||
+      this->attempts >= this->route->max_attempts) {
+    return false;
+  }
+  return this->context.budgets.For(this->service).TryTake();
+}
+
+CallRunner::NextStep CallRunner::RelayWhole(UpstreamAttempt& attempt) {
+  std::string answer;
+  const AttemptTimes times = this->MakeTimes(this->attempts);
+  AttemptEnd end = AttemptEnd::kAnswered;
+  BufferedBytes buffered(this->context.metrics.buffered_bytes);
+  while (end == AttemptEnd::kAnswered && answer.size() <= this->context.settings.max_answer_bytes &&
+         buffered.Total() <= this->context.settings.max_buffered_bytes) {
+    std::string part;
+    end = attempt.ReadPart(part, this->caller.Socket(), times);
+    answer += part;
+    buffered.Add(part.size());
+  }
+  if (end != AttemptEnd::kFinished) {
+    return this->OnEnd(attempt, end == AttemptEnd::kAnswered ? AttemptEnd::kBroken : end);
+  }
+  const net::AnswerHead& head = attempt.Head();
+  if (ImpliesNotRun(head.status)) {
+    // The upstream has run the request or does not say, while its status would imply the opposite.
+    this->Refuse(RefusalKind::kUpstreamFailed,
+                 "The upstream failed the request and may have run it.");
+    return NextStep::kStop;
+  }
+  if (head.status < kFirstServerError) {
+    this->RecordVerdict(attempt, true);
+  }
+  this->RecordSurvival(attempt, true);
+  this->first_byte = this->clock.Now() - this->arrived_at;
+  this->caller.SendWhole(head.status, net::WithoutConnectionFields(head.headers), answer,
+                         this->deadline + kFinalAnswerGrace);
+  this->RecordEnd("answered", head.status, "");
+  return NextStep::kStop;
+}
+
+bool CallRunner::BeginStream(const UpstreamAttempt& attempt) {
+  this->stream_begun_at = this->clock.Now();
+  this->first_byte = this->stream_begun_at - this->arrived_at;
+  const net::AnswerHead& head = attempt.Head();
+  return this->caller.Begin(head.status, net::WithoutConnectionFields(head.headers),
+                            this->deadline);
+}
+
+CallRunner::NextStep CallRunner::RelayStream(UpstreamAttempt& attempt) {
+  const AttemptTimes times = this->MakeTimes(this->attempts);
+  this->events.DropPending();
+  const std::uint64_t events_before = this->events.EventCount();
+  while (true) {
+    std::string part;
+    AttemptEnd end = attempt.ReadPart(part, this->caller.Socket(), times);
+    const std::string events_now = this->events.Feed(part);
+    if (this->events.TooLong()) {
+      end = AttemptEnd::kBroken;
+    }
+    if (!events_now.empty()) {
+      if ((!this->caller.Begun() && !this->BeginStream(attempt)) ||
+          !this->caller.WritePart(events_now, this->deadline)) {
+        return this->OnEnd(attempt, AttemptEnd::kCallerDisconnected);
+      }
+    }
+    if (end == AttemptEnd::kAnswered) {
+      this->RecordSurvival(attempt, false);
+      continue;
+    }
+    // A connection that ends before the first event of a resumed stream does not tell its end.
+    const bool is_told = !attempt.EndsWithConnection() || this->events.EventCount() > events_before;
+    if (end == AttemptEnd::kFinished && is_told && this->events.Pending().empty() &&
+        this->caller.Begun()) {
+      this->RecordVerdict(attempt, true);
+      this->RecordSurvival(attempt, true);
+      this->context.pace.Add(this->service, this->events.EventCount(),
+                             this->clock.Now() - this->stream_begun_at);
+      this->caller.End(this->deadline + kFinalAnswerGrace);
+      this->RecordEnd("answered", attempt.Head().status, "");
+      return NextStep::kStop;
+    }
+    if (end == AttemptEnd::kTimeout && this->caller.Begun()) {
+      this->RecordEnd("failed", 0, "deadline_exceeded");
+      this->context.metrics.refusals.Add(RefusalKind::kDeadlineExceeded);
+      this->caller.Abort();
+      return NextStep::kStop;
+    }
+    if (end == AttemptEnd::kFinished) {
+      end = AttemptEnd::kBroken;
+    }
+    if (this->caller.Begun() && (end == AttemptEnd::kBroken || end == AttemptEnd::kSilent)) {
+      ++this->context.metrics.resumed;
+    }
+    return this->OnEnd(attempt, end);
+  }
+}
+
+}  // namespace masticrill::gateway
