--- a/bench/consensus_commit.cc
+++ b/bench/consensus_commit.cc
@@ -278,7 +278,7 @@
 
 /// The size of the message with names as long as those of real hosts.
 double SizeWithRealNames(Message message) {
-  const ReplicaId name{NodeId("control-casa-a"), DataFolderId("0123456789abcdef")};
+  const ReplicaId name{NodeId("control-north-a"), DataFolderId("0123456789abcdef")};
   message.from = name;
   message.to = name;
   return static_cast<double>(EncodeMessage(message).size());
--- a/src/cli/config_commands.cc
+++ b/src/cli/config_commands.cc
@@ -131,7 +131,7 @@
 Command ConfigPatchCommand() {
   return {"config patch",
           "Change the configuration by a JSON merge patch.",
-          {"echo '{\"failure_domains\":{\"casa-a\":{\"state\":\"out\"}}}' |",
+          {"echo '{\"failure_domains\":{\"north-a\":{\"state\":\"out\"}}}' |",
            "  masticrill config patch - --if-match 7 --reason 'power work'"},
           [](auto& description) {
             DeclareOperatorOptions(description);
--- a/test/config/document_test.cc
+++ b/test/config/document_test.cc
@@ -128,8 +128,8 @@
       {R"({"services":{"booking":{"idempotent_methods":["get"]}}})",
        "$.services.booking.idempotent_methods: names 'get', which is no HTTP method. Write "
        "methods such as GET in capitals."},
-      {R"({"failure_domains":{"casa-a":{"region":null}}})",
-       "$.failure_domains.casa-a.region: is missing. Give it a value."},
+      {R"({"failure_domains":{"north-a":{"region":null}}})",
+       "$.failure_domains.north-a.region: is missing. Give it a value."},
       {R"({"upstreams":{"engine-1":{"sidecar_address":"host:1"}}})",
        "$.upstreams.engine-1.sidecar_address: is not an address. Write IP:PORT, as in "
        "10.0.0.7:9001."},
@@ -182,8 +182,8 @@
       {R"({"cascades":{"small":{"steps":["big"]}}})",
        "$.cascades.small: has the name of a model, so a request could mean either. Rename one of "
        "the two."},
-      {R"({"failure_domains":{"casa-b":null}})",
-       "$.upstreams.engine-2.failure_domain: names the failure domain 'casa-b'" + missing},
+      {R"({"failure_domains":{"north-b":null}})",
+       "$.upstreams.engine-2.failure_domain: names the failure domain 'north-b'" + missing},
       {R"({"upstreams":{"engine-1":{"serves":["big@v2"]}}})",
        "$.upstreams.engine-1.serves: names the version 'big@v2'" + missing},
       {R"({"upstreams":{"engine-1":{"services":["roster"]}}})",
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -182,7 +182,7 @@
  private:
   RoleProcess Start(const std::string& role, const std::string& name, const std::string& sections) {
     const std::string path = this->folder.path() + "/" + name + ".ini";
-    std::ofstream(path) << "[node]\nname = " << name << "\nfailure_domain = casa-a\n"
+    std::ofstream(path) << "[node]\nname = " << name << "\nfailure_domain = north-a\n"
                         << sections << "[security]\nshared_secret = " << kSecret
                         << "\n[log]\nlevel = error\n";
     RoleProcess started;
@@ -212,11 +212,11 @@
                   {"sidecar_address", this->sidecars.at(name).addresses.at("rpc")},
                   {"max_concurrency", 64}};
     };
-    Json engine_1 = upstream("engine-1", "casa-a");
+    Json engine_1 = upstream("engine-1", "north-a");
     engine_1["serves"] = {"small@v1", "small@v2"};
-    Json engine_2 = upstream("engine-2", "casa-b");
+    Json engine_2 = upstream("engine-2", "north-b");
     engine_2["serves"] = {"small@v1", "small@v2"};
-    Json booking = upstream("booking-1", "casa-a");
+    Json booking = upstream("booking-1", "north-a");
     booking["services"] = {"booking"};
     return {{"teams",
              {{"guild",
@@ -231,7 +231,7 @@
                 {"default_version", "v1"}}}}},
             {"services", {{"booking", {{"idempotent_methods", {"GET"}}}}}},
             {"failure_domains",
-             {{"casa-a", {{"region", "maghreb-west"}}}, {"casa-b", {{"region", "maghreb-west"}}}}},
+             {{"north-a", {{"region", "north"}}}, {"north-b", {{"region", "north"}}}}},
             {"upstreams", {{"engine-1", engine_1}, {"engine-2", engine_2}, {"booking-1", booking}}},
             {"operators", {{"op", operator_key}}}};
   }
--- a/test/process/whole_path_test.cc
+++ b/test/process/whole_path_test.cc
@@ -64,7 +64,7 @@
     CHECK(Json::parse(refused.body)["not_run"] == true);
     CHECK(fleet.Chat(entry, "small", false).status == 200);
   }
-  fleet.PatchEverywhere(Json::parse(R"({"failure_domains":{"casa-a":{"state":"out"}}})"));
+  fleet.PatchEverywhere(Json::parse(R"({"failure_domains":{"north-a":{"state":"out"}}})"));
   const int calls_before = fleet.engines[0].Calls();
   for (int i = 0; i < 10; ++i) {
     CHECK(fleet.Chat(static_cast<std::size_t>(i % 2), "small", false).status == 200);
@@ -116,12 +116,12 @@
 TEST_CASE("a leaving upstream gets no new work and finishes what it has") {
   Fleet fleet;
   fleet.engines[0].SetFault(fakes::EngineFault::kHold);
-  fleet.PatchEverywhere(Json::parse(R"({"failure_domains":{"casa-b":{"state":"out"}}})"));
+  fleet.PatchEverywhere(Json::parse(R"({"failure_domains":{"north-b":{"state":"out"}}})"));
   net::HttpAnswer held;
   std::thread caller([&] { held = fleet.Chat(0, "small", true); });
   fleet.engines[0].AwaitHeld();
   fleet.PatchEverywhere(Json::parse(
-      R"({"failure_domains":{"casa-b":{"state":"in"}},"upstreams":{"engine-1":{"state":"leaving"}}})"));
+      R"({"failure_domains":{"north-b":{"state":"in"}},"upstreams":{"engine-1":{"state":"leaving"}}})"));
   const int calls_before = fleet.engines[0].Calls();
   for (int i = 0; i < 10; ++i) {
     CHECK(fleet.Chat(static_cast<std::size_t>(i % 2), "small", false).status == 200);
--- a/test/routing/rollout_evaluation_test.cc
+++ b/test/routing/rollout_evaluation_test.cc
@@ -11,7 +11,7 @@
 namespace masticrill::routing {
 namespace {
 
-const FailureDomainId kLocalDomain("casa-a");
+const FailureDomainId kLocalDomain("north-a");
 const FailureDomainId kRemoteDomain("rabat-b");
 
 void SetCount(VersionEvidence& evidence, const FailureDomainId& domain, EvidenceKind kind,
--- a/test/state/configuration_test.cc
+++ b/test/state/configuration_test.cc
@@ -16,7 +16,7 @@
 constexpr WallTimeMs kStart = 1'000'000;
 
 std::string AddDomain(const std::string& name) {
-  return R"({"failure_domains":{")" + name + R"(":{"region":"maghreb-west"}}})";
+  return R"({"failure_domains":{")" + name + R"(":{"region":"north"}}})";
 }
 
 /// Advances the time of the state by commands that change nothing else.
