Wait for the closed connection in the test of discarded answers

The check that the discarded answer's connection was closed read a plain flag that the upstream's thread sets a moment after the caller has its whole answer. Change: the flag is atomic, and the check waits for it for a bounded time. The other gateway tests that waited in loops of their own use the same function, which came from control_cluster.h.

--- a/test/fakes/control_cluster.h
+++ b/test/fakes/control_cluster.h
@@ -5,13 +5,12 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <filesystem>
-#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "fakes/wait_until.h"
 #include "masticrill/common/random.h"
 #include "masticrill/config/document.h"
 #include "masticrill/control/control_server.h"
@@ -20,7 +19,9 @@
 
 namespace masticrill::control {
 
-inline constexpr seconds kGenerous{60};
+using fakes::kGenerous;
+using fakes::WaitUntil;
+
 inline constexpr const char* kSecret = "test-secret";
 inline constexpr const char* kBootstrapKey = "bootstrap-key";
 /// The operator of ExampleDocument.
@@ -33,19 +34,6 @@
   }
 }
 
-/// Yields until the condition holds, at most for a generous time. Returns whether it held.
-inline bool WaitUntil(const std::function<bool()>& condition) {
-  const SystemClock clock;
-  const TimePoint deadline = clock.Now() + kGenerous;
-  while (clock.Now() < deadline) {
-    if (condition()) {
-      return true;
-    }
-    std::this_thread::yield();
-  }
-  return condition();
-}
-
 /// Addresses of ports that were free a moment ago.
 inline std::vector<std::string> ReserveAddresses(std::size_t count) {
   std::vector<Poco::Net::ServerSocket> sockets;
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -2,11 +2,13 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <string>
 #include <vector>
 
 #include "fakes/gateway_caller.h"
 #include "fakes/raw_upstream.h"
+#include "fakes/wait_until.h"
 
 namespace masticrill::gateway {
 namespace {
@@ -306,7 +308,7 @@
 TEST_CASE(
     "an answer of low confidence is discarded for the strongest model's, unseen by the caller") {
   std::vector<std::string> heads;
-  bool closed = false;
+  std::atomic<bool> closed = false;
   RawUpstream upstream([&](const RawCall& call) {
     heads.push_back(call.head);
     if (call.Has("Use-Model: small")) {
@@ -327,7 +329,7 @@
   CHECK(heads[1].find("Use-Model: large") != std::string::npos);
   CHECK(BodyOf(saw).text == Event(1));
   CHECK(BodyOf(saw).whole);
-  CHECK(closed);
+  CHECK(fakes::WaitUntil([&] { return closed.load(); }));
 }
 
 TEST_CASE("when the caller disconnects, the connection to the upstream is closed") {
@@ -343,11 +345,7 @@
     caller->Write(Post(), SystemClock().Now() + seconds(10));
     caller->Fill(SystemClock().Now() + seconds(10));
   }
-  const TimePoint end = SystemClock().Now() + seconds(30);
-  while (!left && SystemClock().Now() < end) {
-    std::this_thread::yield();
-  }
-  CHECK(left);
+  CHECK(fakes::WaitUntil([&] { return left.load(); }));
   CHECK(upstream.Calls() == 1);
 }
 
--- a/test/gateway/endless_bytes_test.cc
+++ b/test/gateway/endless_bytes_test.cc
@@ -6,6 +6,7 @@
 
 #include "fakes/gateway_caller.h"
 #include "fakes/raw_upstream.h"
+#include "fakes/wait_until.h"
 
 namespace masticrill::gateway {
 namespace {
@@ -51,11 +52,7 @@
 
   std::string Address() const { return this->upstream.Address(); }
   bool AwaitClosed() const {
-    const TimePoint end = SystemClock().Now() + seconds(30);
-    while (!this->closed && SystemClock().Now() < end) {
-      std::this_thread::yield();
-    }
-    return this->closed;
+    return fakes::WaitUntil([this] { return this->closed.load(); });
   }
   std::size_t Written() const { return this->written; }
 
@@ -151,11 +148,7 @@
   GatewayPath slow(once);
   slow.SetUpstreams({dripping.Address()});
   CHECK(slow.Send(kPost).Status() == 504);
-  const TimePoint end = SystemClock().Now() + seconds(30);
-  while (!closed && SystemClock().Now() < end) {
-    std::this_thread::yield();
-  }
-  CHECK(closed);
+  CHECK(fakes::WaitUntil([&] { return closed.load(); }));
 }
 
 TEST_CASE("answers that are buffered at the same time are bounded together") {
--- a/test/gateway/upstream_list_test.cc
+++ b/test/gateway/upstream_list_test.cc
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "fakes/wait_until.h"
 #include "gateway/upstream_list_updater.h"
 
 namespace masticrill::gateway {
@@ -47,11 +48,7 @@
         return UpstreamList{Cold("own")};
       },
       pool, milliseconds(1));
-  const TimePoint end = SystemClock().Now() + seconds(30);
-  while (reads < 3 && SystemClock().Now() < end) {
-    std::this_thread::yield();
-  }
-  CHECK(reads >= 3);
+  CHECK(fakes::WaitUntil([&] { return reads >= 3; }));
   updater.OnSharedList(EncodeUpstreamList({Cold("a"), Cold("b")}), Duration::zero());
   CHECK(pool.UpstreamCount() == 2);
   // Bytes that cannot be decoded leave the list unchanged.
