Print the state of a silent control host before a test kills it

Change: at the end of a test with control processes, a host that does not answer with its configuration is described: how it ended or, for each thread, its state, system call and, where a debugger is installed, stack.

--- a/test/fakes/control_processes.h
+++ b/test/fakes/control_processes.h
@@ -12,6 +12,7 @@
 
 #include "fakes/control_cluster.h"
 #include "fakes/control_operators.h"
+#include "fakes/process_state.h"
 
 namespace masticrill::control {
 
@@ -41,6 +42,9 @@
     this->processes.resize(count, kNone);
   }
   ~ControlProcesses() {
+    for (std::size_t index = 0; index < this->processes.size(); ++index) {
+      this->LogIfSilent(index);
+    }
     for (std::size_t index = 0; index < this->processes.size(); ++index) {
       this->Kill(index);
     }
@@ -120,6 +124,25 @@
  private:
   static constexpr pid_t kNone = -1;
 
+  /// Prints the state of a host that does not answer with its configuration. The state is lost once
+  /// the host is killed.
+  void LogIfSilent(std::size_t index) {
+    if (this->processes[index] == kNone) {
+      return;
+    }
+    const net::HttpAnswer answer = this->Call(index, GetCall("/v1/config"));
+    if (answer.status == 200) {
+      return;
+    }
+    bool runs = false;
+    const std::string state = fakes::DescribeChild(this->processes[index], runs);
+    std::cout << "Control host " << index << " answers with status " << answer.status << " "
+              << answer.body.substr(0, 200) << "; it " << state << std::endl;
+    if (!runs) {
+      this->processes[index] = kNone;
+    }
+  }
+
   /// What the child does until it is killed.
   [[noreturn]] static void Serve(const ControlOptions& options) {
     // No host outlives a test that is aborted.
