Print the calls and the state of all processes when a held call does not happen

Change: a failed wait can describe what is there; this test prints the calls at both engines and the threads of the control host, entries and sidecars.

--- a/test/fakes/child_process.h
+++ b/test/fakes/child_process.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "fakes/process_state.h"
+
 extern char** environ;  // NOLINT(readability-identifier-naming): a name of the C library.
 
 namespace masticrill::fakes {
@@ -76,6 +78,19 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
   }
 
+  /// What the process does now, or how it ended.
+  std::string Describe() {
+    if (this->pid <= 0) {
+      return "was ended";
+    }
+    bool runs = true;
+    std::string text = DescribeChild(this->pid, runs);
+    if (!runs) {
+      this->pid = 0;
+    }
+    return text;
+  }
+
   void Kill() {
     this->Signal(SIGKILL);
     this->Wait();
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -31,13 +31,16 @@
 /// How long a test waits for something that must happen.
 inline constexpr seconds kGenerous{60};
 
-/// Polls until the condition holds. The test fails when it does not within a generous time.
-inline void Await(const std::string& what, const std::function<bool()>& condition) {
+/// Polls until the condition holds. The test fails when it does not within a generous time, with
+/// what `describe` returns then.
+inline void Await(
+    const std::string& what, const std::function<bool()>& condition,
+    const std::function<std::string()>& describe = [] { return std::string(); }) {
   const SystemClock clock;
   const TimePoint end = clock.Now() + kGenerous;
   while (!condition()) {
     if (clock.Now() > end) {
-      FAIL("did not happen: " << what);
+      FAIL("did not happen: " << what << describe());
     }
     std::this_thread::yield();
   }
@@ -164,6 +167,18 @@
     });
   }
 
+  /// The state of all processes, for the log of a failed test.
+  std::string Describe() {
+    std::string text = "\ncontrol " + this->control.process->Describe();
+    for (const RoleProcess& entry : this->entries) {
+      text += "\nentry " + entry.process->Describe();
+    }
+    for (const auto& [name, sidecar] : this->sidecars) {
+      text += "\nsidecar " + name + " " + sidecar.process->Describe();
+    }
+    return text;
+  }
+
   std::uint64_t BilledRequests() const {
     std::uint64_t requests = 0;
     for (const Json& line : this->ControlJson("/v1/ledger").value("billing", Json::array())) {
--- a/test/process/whole_path_test.cc
+++ b/test/process/whole_path_test.cc
@@ -182,8 +182,13 @@
     first = fleet.Chat(0, "small", true);
     ended = true;
   });
-  Await("a held call",
-        [&] { return ended || fleet.engines[0].Calls() + fleet.engines[1].Calls() == 1; });
+  Await(
+      "a held call",
+      [&] { return ended || fleet.engines[0].Calls() + fleet.engines[1].Calls() == 1; },
+      [&] {
+        return ", calls: " + std::to_string(fleet.engines[0].Calls()) + " and " +
+               std::to_string(fleet.engines[1].Calls()) + fleet.Describe();
+      });
   if (ended) {
     caller.join();
     FAIL("the call was not held but answered " << first.status << ": " << first.body);
