--- a/test/control/rollout_fleet_test.cc
+++ b/test/control/rollout_fleet_test.cc
@@ -235,7 +235,9 @@
   const std::array<std::array<double, 2>, 3> first_tokens = {
       {{100, 400}, {300, 1500}, {900, 2500}}};
   for (const int entries : kFleets) {
-    for (const auto& [share, factor] : slowness) {
+    for (const auto& slow : slowness) {
+      const double share = slow.first;
+      const double factor = slow.second;
       for (const auto& first_token : first_tokens) {
         for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
           CAPTURE(entries);
