--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -7,6 +7,7 @@
 #include "masticrill/common/hash.h"
 #include "masticrill/common/log.h"
 #include "masticrill/config/permission.h"
+#include "masticrill/routing/request_identity.h"
 
 namespace masticrill::gateway {
 namespace {
@@ -78,6 +79,9 @@
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
     return;
   }
+  this->whole_request =
+      routing::MakeWholeRequestId({this->owner.team.Value(), this->request.method,
+                                   this->route->host, this->request.target, this->body});
   this->ChooseService();
   if (const std::optional<Refusal> refusal = this->CheckTimeLeft()) {
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
@@ -431,6 +435,7 @@
                                    {"status", attempt.Head().status},
                                    {"answer_age_ms", AgeMs(attempt, this->clock.Now())},
                                    {"prompt", ToText(this->shared_parts)},
+                                   {"whole_request", this->whole_request},
                                    {"attempt", this->attempts},
                                    {"again", decision.retry},
                                    {"reason", routing::ToString(decision.reason)}});
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -130,6 +130,8 @@
   std::size_t model_index = 0;
   /// The parts of the prompt that other requests may share.
   std::vector<PromptPartId> shared_parts;
+  /// The same for each arrival of the same request; empty for one that was not admitted.
+  PromptPartId whole_request;
   bool survival_recorded = false;
   std::set<UpstreamId> tried;
   std::uint32_t attempts = 0;
--- a/src/routing/prompt_evidence.cc
+++ b/src/routing/prompt_evidence.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "masticrill/common/hash.h"
+#include "masticrill/routing/request_identity.h"
 
 namespace masticrill::routing {
 namespace {
@@ -223,7 +224,8 @@
 }  // namespace
 
 PromptPartId MakePromptPartId(std::string_view id) {
-  const bool is_plain = id.size() <= kMaxIdBytes && std::all_of(id.begin(), id.end(), IsPlain);
+  const bool is_plain = id.size() <= kMaxIdBytes && std::all_of(id.begin(), id.end(), IsPlain) &&
+                        !IsWholeRequest(PromptPartId(std::string(id)));
   return PromptPartId(is_plain ? std::string(id) : "sha256." + Sha256Hex(id).substr(0, 32));
 }
 
