--- a/test/process/crashing_workers.h
+++ b/test/process/crashing_workers.h
@@ -12,13 +12,15 @@
 
 namespace masticrill::process {
 
-/// Stand-in workers of the service "s", and the list that names them. A worker that begins to
-/// answer a request whose prompt has the bad part ends, with all that it runs, and starts again
-/// under another name after `kAway`. Answers to streams end with their connection.
+/// Stand-in workers of the service "s", and the list that names them. A worker that begins to run
+/// a request whose head holds the marker ends, with all that it runs, and starts again under
+/// another name after `kAway`. Answers to streams end with their connection.
 class CrashingWorkers {
  public:
-  CrashingWorkers(std::size_t count, std::string bad_part)
-      : bad_part(std::move(bad_part)),
+  /// With `answers_first`, a worker ends after the head of its answer, else before.
+  CrashingWorkers(std::size_t count, std::string marker, bool answers_first)
+      : marker(std::move(marker)),
+        answers_first(answers_first),
         list([this](const fakes::RawCall& call) { this->ServeList(call); }) {
     for (std::size_t number = 0; number < count; ++number) {
       this->workers.push_back(std::make_unique<Worker>());
@@ -30,7 +32,7 @@
   }
 
   std::string ListAddress() const { return this->list.Address(); }
-  /// Requests with the bad part that reached a worker.
+  /// Requests with the marker that reached a worker.
   int BadArrivals() const {
     const std::scoped_lock lock(this->mutex);
     return this->bad_arrivals;
@@ -58,7 +60,7 @@
   void Serve(std::size_t number, const fakes::RawCall& call) {
     std::unique_lock lock(this->mutex);
     Worker& worker = *this->workers[number];
-    const bool is_bad = call.Has(this->bad_part + ":");
+    const bool is_bad = call.Has(this->marker);
     this->bad_arrivals += is_bad ? 1 : 0;
     if (SystemClock().Now() < worker.back_at) {
       call.socket.Close(true);
@@ -70,7 +72,10 @@
           "Content-Length: 0\r\n\r\n");
       return;
     }
-    call.Write("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\nid: 1\nda");
+    if (!is_bad || this->answers_first) {
+      call.Write(
+          "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\nid: 1\nda");
+    }
     if (is_bad) {
       ++this->crashes;
       ++worker.starts;
@@ -104,7 +109,8 @@
                std::to_string(page.size()) + "\r\n\r\n" + page);
   }
 
-  std::string bad_part;
+  std::string marker;
+  bool answers_first;
   mutable std::mutex mutex;
   std::condition_variable crashed;
   int bad_arrivals = 0;
--- a/test/process/prompt_part_test.cc
+++ b/test/process/prompt_part_test.cc
@@ -16,7 +16,8 @@
 class CrashingFleet : private CrashingWorkers, public PlatformHosts {
  public:
   CrashingFleet()
-      : CrashingWorkers(5, kBadPart), PlatformHosts(CrashingWorkers::ListAddress(), kHosts) {
+      : CrashingWorkers(5, std::string(kBadPart) + ":", true),
+        PlatformHosts(CrashingWorkers::ListAddress(), kHosts) {
     this->Configure(1);
     for (int host = 1; host <= kHosts; ++host) {
       this->AwaitReady(host);
