Decode and log the pause that an upstream asks for with a 503

It is decoded into a field of the answer, bounded to an hour; An attempt failed. names it (pause_ms). Nothing acts on it yet.

--- a/include/masticrill/gateway/edge_protocol.h
+++ b/include/masticrill/gateway/edge_protocol.h
@@ -88,6 +88,11 @@
   /// The requests a second that the upstream takes from all entries together; absent when the
   /// answer states no limit.
   std::optional<double> requests_per_second;
+  /// How long the upstream, which turned the request away, wants no more from this entry; absent
+  /// when it asks for no pause.
+  std::optional<milliseconds> pause;
+  /// The upstream asks for a pause in a form that cannot be read.
+  bool pause_unreadable = false;
   /// The model's confidence in its answer, from 0 to 1.
   std::optional<double> confidence;
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -432,16 +432,18 @@
                                                     : routing::HandOverState::kMayHaveRun,
                                             this->attempts);
   this->context.metrics.retries.Add(decision.reason);
-  kLog.Info("An attempt failed.", {{"request", this->metadata.request},
-                                   {"upstream", attempt.Upstream().id},
-                                   {"end", ToString(end)},
-                                   {"status", attempt.Head().status},
-                                   {"answer_age_ms", AgeMs(attempt, this->clock.Now())},
-                                   {"prompt", ToText(this->parts.shared)},
-                                   {"whole_request", this->parts.whole},
-                                   {"attempt", this->attempts},
-                                   {"again", decision.retry},
-                                   {"reason", routing::ToString(decision.reason)}});
+  kLog.Info("An attempt failed.",
+            {{"request", this->metadata.request},
+             {"upstream", attempt.Upstream().id},
+             {"end", ToString(end)},
+             {"status", attempt.Head().status},
+             {"answer_age_ms", AgeMs(attempt, this->clock.Now())},
+             {"pause_ms", attempt.Metadata().pause.value_or(milliseconds(0)).count()},
+             {"prompt", ToText(this->parts.shared)},
+             {"whole_request", this->parts.whole},
+             {"attempt", this->attempts},
+             {"again", decision.retry},
+             {"reason", routing::ToString(decision.reason)}});
   if (decision.retry) {
     return NextStep::kTryAgain;
   }
--- a/test/platform/edge_test.cc
+++ b/test/platform/edge_test.cc
@@ -105,6 +105,26 @@
   CHECK(CountOf(sent, "X-Tenant") == 0);
 }
 
+TEST_CASE("an upstream that turns a request away may ask for a pause") {
+  const auto facts = [](int status, const std::string& pause) {
+    return PlatformEdge().read_answer({status, true, {{"Retry-After", pause}}});
+  };
+  CHECK(facts(503, "3").pause == milliseconds(3000));
+  CHECK(facts(503, " 0.25 ").pause == milliseconds(250));
+  CHECK(facts(503, "0").pause == milliseconds(0));
+  // Too long to be meant.
+  CHECK(facts(503, "99999999999999999999").pause == std::chrono::hours(1));
+  for (const char* unreadable :
+       {"", "-1", "soon", "1e3", "nan", "inf", "3 s", "3,5", "Fri, 04 Dec 2026 18:00:00 GMT"}) {
+    CAPTURE(unreadable);
+    CHECK_FALSE(facts(503, unreadable).pause);
+    CHECK(facts(503, unreadable).pause_unreadable);
+  }
+  CHECK_FALSE(facts(200, "3").pause);
+  CHECK_FALSE(facts(429, "3").pause);
+  CHECK_FALSE(PlatformEdge().read_answer({503, true, {}}).pause_unreadable);
+}
+
 TEST_CASE("an answer says whether it ran, whose it is and how sure its model is") {
   const gateway::EdgeProtocol edge = PlatformEdge();
   const auto facts = [&](int status, std::vector<HeaderField> headers) {
