Add failing tests: requests that reach an upstream which has asked for a pause

The stand-in workers of the test of stated limits take the head of the first one's answers as a function, so that they serve this test, too.

--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -257,6 +257,40 @@
   CHECK_FALSE(BodyOf(cut).whole);
 }
 
+const std::string kPause =
+    "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nPause-Ms: 30000\r\nContent-Length: 0\r\n\r\n";
+
+// Guards against requests that reach an upstream which has asked for a pause: nothing read it, and
+// an upstream that refuses has the least load.
+TEST_CASE("an upstream that asks for a pause gets no request until its end") {
+  RawUpstream pausing([](const RawCall& call) { call.Write(kPause); });
+  RawUpstream sound([](const RawCall& call) { call.Write(kWhole); });
+  GatewayPath path(RouteOf(RouteKind::kIdempotent, 2));
+  path.SetUpstreams({pausing.Address(), sound.Address()});
+  for (int request = 0; request < 10; ++request) {
+    CHECK(path.Send(Post()).Status() == 200);
+    // The list comes again and again.
+    path.SetUpstreams({pausing.Address(), sound.Address()});
+  }
+  CHECK(pausing.Calls() == 1);
+  CHECK(sound.Calls() == 10);
+}
+
+TEST_CASE("a request for which all upstreams pause is refused at once, until the first one ends") {
+  RawUpstream pausing([](const RawCall& call) { call.Write(kPause); });
+  for (const RouteKind kind : {RouteKind::kIdempotent, RouteKind::kAtMostOnce}) {
+    GatewayPath path(RouteOf(kind, 3));
+    path.SetUpstreams({pausing.Address()});
+    CHECK(path.Send(Post()).Status() == 503);
+    const int calls = pausing.Calls();
+    const CallerSaw refused = path.Send(Post());
+    CHECK(refused.Status() == 503);
+    CHECK(refused.Has("\"not_run\":\"true\""));
+    CHECK(refused.Has("Retry-After: 29."));
+    CHECK(pausing.Calls() == calls);
+  }
+}
+
 TEST_CASE("a request with a blocked part of its prompt reaches no upstream") {
   RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
   GatewayPath path(RouteOf(RouteKind::kIdempotent, 3));
--- a/test/process/request_limit_test.cc
+++ b/test/process/request_limit_test.cc
@@ -6,7 +6,7 @@
 #include <thread>
 #include <vector>
 
-#include "process/limited_workers.h"
+#include "process/answering_workers.h"
 #include "process/platform_hosts.h"
 
 namespace masticrill::process {
@@ -21,15 +21,17 @@
 /// From then on, after the limit was first named.
 constexpr seconds kContact{3};
 
-class LimitedFleet : private LimitedWorkers, public PlatformHosts {
+class LimitedFleet : private AnsweringWorkers, public PlatformHosts {
  public:
-  LimitedFleet() : LimitedWorkers(3, "2.0"), PlatformHosts(LimitedWorkers::ListAddress(), kHosts) {
+  LimitedFleet()
+      : AnsweringWorkers(3, [] { return SoundHead() + "Server-Limit: 2.0\r\n"; }),
+        PlatformHosts(AnsweringWorkers::ListAddress(), kHosts) {
     this->Configure(1);
     for (int host = 1; host <= kHosts; ++host) {
       this->AwaitReady(host);
     }
   }
-  using LimitedWorkers::Arrivals;
+  using AnsweringWorkers::Arrivals;
 };
 
 // Guards against an upstream in need that gets as many requests as before: no entry read the limit
@@ -46,15 +48,19 @@
     });
   }
   Await("requests at the limited upstream", [&] { return !fleet.Arrivals().empty(); });
-  const TimePoint first = fleet.Arrivals().front();
+  const TimePoint first = fleet.Arrivals().front().at;
   Await("the end of the span",
         [&] { return SystemClock().Now() > first + kContact + Duration(kWindow) + seconds(3); });
   stopped = true;
   for (std::thread& caller : callers) {
     caller.join();
   }
-  std::vector<TimePoint> counted = fleet.Arrivals();
-  std::erase_if(counted, [&](TimePoint at) { return at < first + kContact; });
+  std::vector<TimePoint> counted;
+  for (const Arrival& arrival : fleet.Arrivals()) {
+    if (arrival.at >= first + kContact) {
+      counted.push_back(arrival.at);
+    }
+  }
   CHECK_FALSE(counted.empty());
   for (auto begin = counted.begin(); begin != counted.end(); ++begin) {
     const auto end = std::lower_bound(begin, counted.end(), *begin + Duration(kWindow));
