Keep requests from an upstream that has asked for a pause

Cause: nothing read Retry-After of an upstream's 503, and an upstream that refuses has the least load, so that it attracts requests.

Change: the pool keeps the pause for the upstream's start, whatever lists and configurations come; no request, retry or step of a cascade goes there, and one that had chosen it is checked again before its hand-over. After it entries return at random within a fifth of it, with one request a second until one is answered. If all upstreams pause, the request is refused at once until the first end. A pause is no failure and moves nothing to another version.

--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -44,6 +44,16 @@
   /// How long an upstream is avoided after another one has answered at its address, while the list
   /// still shows it there: lists lag, and show lost upstreams for some seconds.
   Duration taken_address_lifetime = seconds(5);
+  /// The longest pause that an upstream is granted.
+  Duration max_pause = std::chrono::minutes(5);
+  /// After a pause, each entry waits for a random part of this share of it, up to the limit, as
+  /// other entries were asked for the same pause.
+  double return_spread = 0.2;
+  Duration max_return_spread = seconds(1);
+  /// After a pause, an upstream gets one request in this time until it has answered one.
+  Duration return_interval = seconds(1);
+  /// How long an upstream that is no longer listed is known, in case that it comes back.
+  Duration unlisted_lifetime = seconds(60);
   /// How long the news of a stated limit is passed on to other entries.
   Duration limit_news_lifetime = seconds(2);
   /// The work that a running request counts as at a model engine, since it slows other requests.
@@ -68,6 +78,7 @@
   kNoUpstream,  // The service has no upstream that may take work.
   kAllTried,    // Every usable upstream has already been tried for this request.
   kRateLimit,   // The remaining upstreams are cold or state a limit, and have reached it.
+  kPaused,      // The remaining upstreams have asked for a pause.
 };
 
 struct UpstreamPick {
@@ -78,7 +89,7 @@
   double work = 0;
   /// The load of the upstream before this request.
   double load = 0;
-  /// With kRateLimit: when to look for capacity again.
+  /// With kRateLimit: when to look for capacity again. With kPaused: until the first pause ends.
   Duration retry_after{0};
 };
 
@@ -170,6 +181,16 @@
   void OnPeerLimits(const std::vector<StatedLimit>& limits, TimePoint now);
   /// Upstreams that state a limit now.
   std::size_t LimitedCount() const;
+  /// Records that the upstream, which turned a request away, wants no more for so long. It gets
+  /// none from this entry until the end, whatever the list says, unless it starts again; then few
+  /// until it has answered one. A shorter pause does not end a longer one.
+  void OnPause(const UpstreamId& upstream, Duration pause, TimePoint now);
+  /// Logs, once for each start of the upstream, that the pause it asks for cannot be read.
+  void OnUnreadablePause(const UpstreamId& upstream);
+  /// Whether a request for which the upstream was chosen may still be sent there.
+  bool MayStillSend(const UpstreamId& upstream, TimePoint now) const;
+  /// Upstreams that have asked this entry for a pause which has not ended.
+  std::size_t PausedCount(TimePoint now) const;
   /// Records that another upstream answers at this upstream's address. Until the list shows a new
   /// address or start time, or `taken_address_lifetime` has passed, the upstream is chosen only if
   /// no other one is left.
@@ -207,6 +228,14 @@
     bool limit_is_own_news = false;
     /// The last turn that this entry has used under a stated limit; -1 for none.
     std::int64_t last_limit_turn = -1;
+    /// Until then the upstream wants no request from this entry.
+    TimePoint paused_until;
+    /// After a pause, until the upstream has answered a request.
+    bool is_returning = false;
+    /// When it last got a request while it was returning.
+    TimePoint tried_at;
+    bool pause_was_unreadable = false;
+    TimePoint last_listed_at;
     TimePoint last_received_at;
     /// Until then the address is considered to belong to another upstream.
     TimePoint address_taken_until;
@@ -232,6 +261,7 @@
   bool MayUseCold(const Member& member, TimePoint now, WallTimeMs wall_now) const;
   std::vector<Member*> FilterByVersion(std::vector<Member*> members, const UpstreamQuery& query,
                                        WallTimeMs wall_now);
+  bool MayReturn(const Member& member, TimePoint now) const;
   static std::vector<Member*> ReachableOrAll(const std::vector<Member*>& members, TimePoint now);
   std::vector<Member*> HealthyOrAll(const std::vector<Member*>& members, TimePoint now) const;
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -251,6 +251,10 @@
       this->Refuse(RefusalKind::kNoUpstream,
                    "The service has no upstream that takes requests. Retry later.",
                    this->context.settings.retry_after_no_lease);
+    } else if (pick.status == PickStatus::kPaused) {
+      this->Refuse(RefusalKind::kOverloaded,
+                   "All upstreams of the service have asked for a pause. Retry after it.",
+                   duration_cast<milliseconds>(pick.retry_after));
     } else {
       this->Refuse(RefusalKind::kOverloaded,
                    "All upstreams of the service are at their limits or were tried.",
@@ -361,6 +365,7 @@
     this->context.evidence.EndWait(wait);
   }
   this->last_attempt_end = ToString(end);
+  this->context.metrics.pauses += attempt.Metadata().pause ? 1 : 0;
   this->context.metrics.limited_answers += attempt.Metadata().requests_per_second ? 1 : 0;
   this->tried.insert(pick->upstream.id);
   // If another upstream has taken over the address and rejected the request, the request has not
@@ -383,6 +388,8 @@
                    "Cannot connect to any upstream of the service.",
                    this->context.settings.retry_after);
       return NextStep::kStop;
+    case AttemptEnd::kWithheld:
+      return NextStep::kTryAgain;
     case AttemptEnd::kNotRun:
       if (attempt.Metadata().other_upstream) {
         this->context.pool.OnAddressTaken(attempt.Upstream().id, this->clock.Now());
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -19,6 +19,8 @@
   writer.Counter("masticrill_gateway_limited_answers_total",
                  "Answers that state how many requests a second their upstream takes.",
                  this->limited_answers);
+  writer.Counter("masticrill_gateway_pauses_total", "Refusals of upstreams that ask for a pause.",
+                 this->pauses);
   writer.Gauge("masticrill_gateway_in_flight", "Requests in progress.",
                static_cast<double>(this->in_flight.load()));
   writer.Gauge("masticrill_gateway_connections", "Open connections from callers.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -21,6 +21,8 @@
   std::atomic<std::uint64_t> early_breaks = 0;
   /// Answers that state how many requests a second their upstream takes.
   std::atomic<std::uint64_t> limited_answers = 0;
+  /// Refusals of upstreams that ask for a pause.
+  std::atomic<std::uint64_t> pauses = 0;
   std::atomic<std::int64_t> in_flight = 0;
   std::atomic<std::int64_t> connections = 0;
   /// Bytes of answers that wait until they are complete.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -397,6 +397,9 @@
   writer.Gauge("masticrill_gateway_limited_upstreams",
                "Upstreams that state how many requests a second they take from all entries.",
                static_cast<double>(this->pool.LimitedCount()));
+  writer.Gauge("masticrill_gateway_paused_upstreams",
+               "Upstreams that have asked this node for a pause which has not ended.",
+               static_cast<double>(this->pool.PausedCount(this->clock.Now())));
   writer.Gauge("masticrill_gateway_blocked_prompt_parts",
                "Parts of prompts with which requests are refused.",
                static_cast<double>(this->prompts.BlockedCount(this->clock.Now())));
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -48,6 +48,8 @@
       return "finished";
     case AttemptEnd::kNotConnected:
       return "not_connected";
+    case AttemptEnd::kWithheld:
+      return "withheld";
     case AttemptEnd::kNotRun:
       return "not_run";
     case AttemptEnd::kBroken:
@@ -86,6 +88,10 @@
   if (const AttemptEnd end = this->Connect(caller, times); end != AttemptEnd::kAnswered) {
     return end;
   }
+  // It may have asked for a pause since it was chosen.
+  if (!this->pool.MayStillSend(this->upstream.id, this->clock.Now())) {
+    return AttemptEnd::kWithheld;
+  }
   if (const AttemptEnd end = this->HandOver(request, parameters, body, caller, times);
       end != AttemptEnd::kAnswered) {
     return end;
@@ -219,8 +225,8 @@
   return AttemptEnd::kBroken;
 }
 
-/// Checks that the head belongs to a valid answer to this request, and tells the pool the load and
-/// the cold time that the head states.
+/// Checks that the head belongs to a valid answer to this request, and tells the pool what the head
+/// states of the upstream.
 AttemptEnd UpstreamAttempt::CheckHead(const RequestId& id, const std::string& method) {
   this->metadata = this->protocol.read_answer(this->head);
   if (!this->metadata.request.Empty() && this->metadata.request != id) {
@@ -233,6 +239,12 @@
   if (this->metadata.cold_left) {
     this->pool.OnColdReport(this->upstream.id, *this->metadata.cold_left, now);
   }
+  if (this->metadata.pause && !this->metadata.other_upstream) {
+    this->pool.OnPause(this->upstream.id, *this->metadata.pause, now);
+  }
+  if (this->metadata.pause_unreadable) {
+    this->pool.OnUnreadablePause(this->upstream.id);
+  }
   // A refusal may come from a part of the upstream that states no limits.
   if (!this->metadata.other_upstream &&
       (this->metadata.requests_per_second || !this->metadata.not_run)) {
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -21,6 +21,7 @@
   kAnswered,      // The head or the next part of the answer has been read.
   kFinished,      // The answer is complete.
   kNotConnected,  // The connection failed; nothing was handed over.
+  kWithheld,      // The upstream no longer wants the request; nothing was handed over.
   kNotRun,        // The upstream states that it did not run the request.
   kBroken,   // The connection broke, or the bytes received are no valid answer to this request.
   kSilent,   // The upstream has sent nothing for too long, to this or any other request.
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -60,9 +60,13 @@
     }
     member.listed = listed;
     member.present = true;
+    member.last_listed_at = now;
   }
-  std::erase_if(this->members, [](const auto& entry) {
-    return !entry.second.present && entry.second.in_flight == 0;
+  std::erase_if(this->members, [&](const auto& entry) {
+    const Member& member = entry.second;
+    const bool may_come_back = now < member.paused_until &&
+                               now - member.last_listed_at <= this->settings.unlisted_lifetime;
+    return !member.present && member.in_flight == 0 && !may_come_back;
   });
   this->members_by_key.clear();
   this->members_by_limit_key.clear();
@@ -84,6 +88,9 @@
   member.cold_until = std::max(member.cold_until, now + Duration(cold));
   member.health.OnRestart(now);
   member.address_taken_until = TimePoint();
+  member.paused_until = TimePoint();
+  member.is_returning = false;
+  member.pause_was_unreadable = false;
   member.turn_rate.reset();
   member.limit_known_at = TimePoint();
   member.last_limit_turn = -1;
@@ -243,10 +250,22 @@
   if (found.empty()) {
     return {PickStatus::kAllTried, {}, ChoiceReason::kNone, 0, 0, Duration::zero()};
   }
+  std::vector<Member*> resting;
+  std::copy_if(found.begin(), found.end(), std::back_inserter(resting),
+               [&](const Member* member) { return now < member->paused_until; });
+  if (resting.size() == found.size()) {
+    TimePoint earliest = TimePoint::max();
+    for (const Member* member : resting) {
+      earliest = std::min(earliest, member->paused_until);
+    }
+    return {PickStatus::kPaused, {}, ChoiceReason::kNone, 0, 0, earliest - now};
+  }
+  std::erase_if(found, [&](const Member* member) { return now < member->paused_until; });
   const std::vector<Member*> healthy = this->HealthyOrAll(ReachableOrAll(found, now), now);
   found = healthy;
   std::erase_if(found, [&](const Member* member) {
-    return !this->MayUseCold(*member, now, wall_now) || !this->MayUseLimited(*member, wall_now);
+    return !this->MayUseCold(*member, now, wall_now) || !this->MayUseLimited(*member, wall_now) ||
+           !this->MayReturn(*member, now);
   });
   if (found.empty()) {
     return {PickStatus::kRateLimit,
@@ -273,6 +292,9 @@
         this->request_turns.CurrentTurn(StartHash(chosen.listed), *chosen.turn_rate, wall_now)
             .value_or(-1);
   }
+  if (chosen.is_returning) {
+    chosen.tried_at = now;
+  }
   if (chosen.in_flight == 0) {
     chosen.last_received_at = now;
   }
@@ -292,6 +314,7 @@
   if (const auto found = this->members.find(upstream); found != this->members.end()) {
     found->second.waiting_work = std::max(found->second.waiting_work - work, 0.0);
     ++found->second.running;
+    found->second.is_returning = false;
   }
 }
 
--- a/src/gateway/upstream_pool_limits.cc
+++ b/src/gateway/upstream_pool_limits.cc
@@ -1,5 +1,5 @@
 // The part of UpstreamPool that bounds the rate of requests at cold upstreams and at those that
-// state a limit.
+// state a limit, and that keeps requests from those that ask for a pause.
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -75,7 +75,7 @@
   constexpr Duration kColdRetry = milliseconds(50);
   Duration wait = seconds(5);
   for (const Member* member : full) {
-    if (!this->MayUseCold(*member, now, wall_now)) {
+    if (!this->MayUseCold(*member, now, wall_now) || !this->MayReturn(*member, now)) {
       wait = std::min(wait, kColdRetry);
     } else if (member->turn_rate) {
       wait = std::min(wait, this->request_turns.UntilNextTurn(StartHash(member->listed),
@@ -85,6 +85,56 @@
   return wait;
 }
 
+/// Whether the upstream may get a request as far as its last pause is concerned.
+bool UpstreamPool::MayReturn(const Member& member, TimePoint now) const {
+  return now >= member.paused_until &&
+         (!member.is_returning || now >= member.tried_at + this->settings.return_interval);
+}
+
+void UpstreamPool::OnPause(const UpstreamId& upstream, Duration pause, TimePoint now) {
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->members.find(upstream);
+  if (found == this->members.end() || pause <= Duration::zero()) {
+    return;
+  }
+  Member& member = found->second;
+  const Duration granted = std::min(pause, this->settings.max_pause);
+  const auto spread = duration_cast<Duration>(granted * this->settings.return_spread);
+  const auto late = duration_cast<Duration>(std::min(spread, this->settings.max_return_spread) *
+                                            this->random.Uniform());
+  if (now >= member.paused_until) {
+    kLog.Info("An upstream asks for a pause; it gets no requests until its end.",
+              {{"upstream", upstream},
+               {"asked_ms", duration_cast<milliseconds>(pause).count()},
+               {"pause_ms", duration_cast<milliseconds>(granted + late).count()}});
+  }
+  member.paused_until = std::max(member.paused_until, now + granted + late);
+  member.is_returning = true;
+  member.tried_at = TimePoint();
+}
+
+void UpstreamPool::OnUnreadablePause(const UpstreamId& upstream) {
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->members.find(upstream);
+  if (found != this->members.end() && !std::exchange(found->second.pause_was_unreadable, true)) {
+    kLog.Warning("The pause that an upstream asks for cannot be read, and is not kept.",
+                 {{"upstream", upstream}});
+  }
+}
+
+bool UpstreamPool::MayStillSend(const UpstreamId& upstream, TimePoint now) const {
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->members.find(upstream);
+  return found == this->members.end() || now >= found->second.paused_until;
+}
+
+std::size_t UpstreamPool::PausedCount(TimePoint now) const {
+  const std::scoped_lock lock(this->mutex);
+  return static_cast<std::size_t>(std::count_if(
+      this->members.begin(), this->members.end(),
+      [&](const auto& entry) { return entry.second.present && now < entry.second.paused_until; }));
+}
+
 void UpstreamPool::OnColdReport(const UpstreamId& upstream, milliseconds cold_left, TimePoint now) {
   const std::scoped_lock lock(this->mutex);
   if (const auto found = this->members.find(upstream); found != this->members.end()) {
--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -347,5 +347,111 @@
   CHECK(run(false) >= 4'000);
 }
 
+/// The picks of one second, a hundred at equal intervals, that fell on an upstream. Each is
+/// answered.
+int PicksOf(UpstreamPool& pool, const std::string& id, double from, bool answers = true) {
+  int picks = 0;
+  for (int request = 0; request < 100; ++request) {
+    const double at = from + request / 100.0;
+    const UpstreamPick pick = PickAt(pool, at);
+    if (pick.status != PickStatus::kFound) {
+      continue;
+    }
+    picks += pick.upstream.id == UpstreamId(id) ? 1 : 0;
+    if (answers) {
+      pool.OnAnswerStarted(pick.upstream.id, pick.work);
+    }
+    pool.Release(pick.upstream.id, 0, AttemptVerdict::kNeutral, At(at));
+  }
+  return picks;
+}
+
+// Guards against requests, of whatever kind, that reach an upstream which has asked for a pause.
+TEST_CASE("an upstream that asks for a pause gets nothing until its end, lists and rules aside") {
+  const auto pool = MakePool();
+  const UpstreamList list = {Listed("a", kNorth), Listed("b", kSouth)};
+  pool->SetList(list, At(0));
+  CHECK(PicksOf(*pool, "a", 0) > 0);
+  pool->OnPause(UpstreamId("a"), seconds(3), At(1));
+  // A shorter pause does not end it.
+  pool->OnPause(UpstreamId("a"), milliseconds(100), At(1.5));
+  CHECK(pool->PausedCount(At(2)) == 1);
+  CHECK(PicksOf(*pool, "a", 1.5) == 0);
+  pool->SetList(list, At(2.5));
+  pool->SetRules({TableWithColdStart(0), {}, {}});
+  CHECK(PicksOf(*pool, "a", 2.6) == 0);
+  // Neither does an absence from the list.
+  pool->SetList({list[1]}, At(3.6));
+  pool->SetList(list, At(3.7));
+  CHECK(pool->Pick({kService, {UpstreamId("b")}, "", {}, ""}, At(3.9), 0).status ==
+        PickStatus::kPaused);
+  CHECK_FALSE(pool->MayStillSend(UpstreamId("a"), At(3.9)));
+  CHECK(pool->MayStillSend(UpstreamId("b"), At(3.9)));
+  CHECK(PicksOf(*pool, "a", 4.7) > 0);
+  CHECK(pool->PausedCount(At(5)) == 0);
+}
+
+TEST_CASE("a longer pause extends one, and a new start ends it") {
+  const auto pool = MakePool();
+  ListedUpstream upstream = Listed("a", kNorth);
+  pool->SetList({upstream}, At(0));
+  pool->SetRules({TableWithColdStart(0), {}, {}});
+  pool->OnPause(UpstreamId("a"), seconds(1), At(1));
+  pool->OnPause(UpstreamId("a"), seconds(5), At(1.5));
+  const UpstreamPick paused = PickAt(*pool, 3);
+  CHECK(paused.status == PickStatus::kPaused);
+  // The first end: the pause and, at most, the spread.
+  CHECK(paused.retry_after >= milliseconds(3500));
+  CHECK(paused.retry_after <= milliseconds(4500));
+  upstream.started_at = 7;
+  pool->SetList({upstream}, At(3));
+  CHECK(PickAt(*pool, 3).status == PickStatus::kFound);
+}
+
+TEST_CASE("a pause of no length is none, and an endless one is bounded") {
+  const auto pool = MakePool();
+  pool->SetList({Listed("a", kNorth)}, At(0));
+  pool->OnPause(UpstreamId("a"), Duration(0), At(1));
+  pool->OnPause(UpstreamId("unknown"), seconds(5), At(1));
+  CHECK(PickAt(*pool, 1).status == PickStatus::kFound);
+  pool->OnPause(UpstreamId("a"), std::chrono::hours(1), At(1));
+  CHECK(PickAt(*pool, 200).status == PickStatus::kPaused);
+  CHECK(PickAt(*pool, 400).status == PickStatus::kFound);
+}
+
+TEST_CASE("after a pause an upstream gets few requests until it has answered one") {
+  const auto pool = MakePool();
+  pool->SetList({Listed("a", kNorth), Listed("b", kNorth)}, At(0));
+  pool->OnPause(UpstreamId("a"), seconds(2), At(0));
+  CHECK(PicksOf(*pool, "a", 3, false) <= 2);
+  CHECK(PicksOf(*pool, "a", 4.2) > 10);
+}
+
+TEST_CASE("entries that were asked for the same pause return one after another") {
+  std::set<std::int64_t> ends;
+  for (std::uint64_t entry = 1; entry <= 100; ++entry) {
+    const auto pool = MakePool(entry);
+    pool->SetList({Listed("a", kNorth)}, At(0));
+    pool->OnPause(UpstreamId("a"), seconds(3), At(0));
+    const Duration left = PickAt(*pool, 0).retry_after;
+    CHECK(left >= seconds(3));
+    CHECK(left <= milliseconds(3600));
+    ends.insert(duration_cast<milliseconds>(left).count() / 10);
+  }
+  CHECK(ends.size() > 30);
+}
+
+TEST_CASE("a pause neither ejects an upstream nor moves its requests to another version") {
+  const auto pool = MakePool();
+  pool->SetList({Listed("a", kNorth), Listed("b", kNorth, "v2")}, At(0));
+  config::ServiceRollout rollout;
+  rollout.target = VersionId("v2");
+  rollout.state = config::ServiceRolloutState::kRolledBack;
+  pool->SetRules({TableWithColdStart(0), {}, {{kService, rollout}}});
+  pool->OnPause(UpstreamId("a"), seconds(1), At(0));
+  CHECK(PickAt(*pool, 0.5).status == PickStatus::kPaused);
+  CHECK(PickAt(*pool, 2).upstream.id == UpstreamId("a"));
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
