Keep new work from an upstream that says it is leaving

Cause: the header Server-Leaving was read nowhere.

Change: it is decoded into a field of the answer; from then on the pool gives that start of the upstream nothing new, and a request that had chosen it is checked again before its hand-over. A new start ends it.

--- a/include/masticrill/gateway/edge_protocol.h
+++ b/include/masticrill/gateway/edge_protocol.h
@@ -80,7 +80,7 @@
   RequestId request;
   /// The answer bears the upstream's signature.
   bool is_signed = false;
-  /// The upstream closes the connection after this answer, or is leaving.
+  /// The upstream closes the connection after this answer.
   bool closes = false;
   std::optional<LoadReport> load;
   /// How much longer the upstream is cold; absent when the answer does not state it.
@@ -88,6 +88,8 @@
   /// The requests a second that the upstream takes from all entries together; absent when the
   /// answer states no limit.
   std::optional<double> requests_per_second;
+  /// The upstream is leaving: it runs what it has and wants nothing new.
+  bool is_leaving = false;
   /// How long the upstream, which turned the request away, wants no more from this entry; absent
   /// when it asks for no pause.
   std::optional<milliseconds> pause;
--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -181,6 +181,9 @@
   void OnPeerLimits(const std::vector<StatedLimit>& limits, TimePoint now);
   /// Upstreams that state a limit now.
   std::size_t LimitedCount() const;
+  /// Records that the upstream says it is leaving. It gets nothing new from this entry, whatever
+  /// the list says, unless it starts again.
+  void OnLeaving(const UpstreamId& upstream);
   /// Records that the upstream, which turned a request away, wants no more for so long. It gets
   /// none from this entry until the end, whatever the list says, unless it starts again; then few
   /// until it has answered one. A shorter pause does not end a longer one.
@@ -189,6 +192,8 @@
   void OnUnreadablePause(const UpstreamId& upstream);
   /// Whether a request for which the upstream was chosen may still be sent there.
   bool MayStillSend(const UpstreamId& upstream, TimePoint now) const;
+  /// Listed upstreams that have told this entry that they are leaving.
+  std::size_t LeavingCount() const;
   /// Upstreams that have asked this entry for a pause which has not ended.
   std::size_t PausedCount(TimePoint now) const;
   /// Records that another upstream answers at this upstream's address. Until the list shows a new
@@ -228,6 +233,8 @@
     bool limit_is_own_news = false;
     /// The last turn that this entry has used under a stated limit; -1 for none.
     std::int64_t last_limit_turn = -1;
+    /// The upstream has said that it is leaving.
+    bool says_leaving = false;
     /// Until then the upstream wants no request from this entry.
     TimePoint paused_until;
     /// After a pause, until the upstream has answered a request.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -397,6 +397,9 @@
   writer.Gauge("masticrill_gateway_limited_upstreams",
                "Upstreams that state how many requests a second they take from all entries.",
                static_cast<double>(this->pool.LimitedCount()));
+  writer.Gauge("masticrill_gateway_leaving_upstreams",
+               "Listed upstreams that have told this node that they are leaving.",
+               static_cast<double>(this->pool.LeavingCount()));
   writer.Gauge("masticrill_gateway_paused_upstreams",
                "Upstreams that have asked this node for a pause which has not ended.",
                static_cast<double>(this->pool.PausedCount(this->clock.Now())));
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -88,7 +88,7 @@
   if (const AttemptEnd end = this->Connect(caller, times); end != AttemptEnd::kAnswered) {
     return end;
   }
-  // It may have asked for a pause since it was chosen.
+  // It may have asked for a pause, or said that it leaves, since it was chosen.
   if (!this->pool.MayStillSend(this->upstream.id, this->clock.Now())) {
     return AttemptEnd::kWithheld;
   }
@@ -239,6 +239,9 @@
   if (this->metadata.cold_left) {
     this->pool.OnColdReport(this->upstream.id, *this->metadata.cold_left, now);
   }
+  if (this->metadata.is_leaving && !this->metadata.other_upstream) {
+    this->pool.OnLeaving(this->upstream.id);
+  }
   if (this->metadata.pause && !this->metadata.other_upstream) {
     this->pool.OnPause(this->upstream.id, *this->metadata.pause, now);
   }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -64,7 +64,7 @@
   }
   std::erase_if(this->members, [&](const auto& entry) {
     const Member& member = entry.second;
-    const bool may_come_back = now < member.paused_until &&
+    const bool may_come_back = (member.says_leaving || now < member.paused_until) &&
                                now - member.last_listed_at <= this->settings.unlisted_lifetime;
     return !member.present && member.in_flight == 0 && !may_come_back;
   });
@@ -88,6 +88,7 @@
   member.cold_until = std::max(member.cold_until, now + Duration(cold));
   member.health.OnRestart(now);
   member.address_taken_until = TimePoint();
+  member.says_leaving = false;
   member.paused_until = TimePoint();
   member.is_returning = false;
   member.pause_was_unreadable = false;
@@ -113,7 +114,8 @@
 }
 
 bool UpstreamPool::MayTakeWork(const Member& member, const UpstreamQuery& query) const {
-  return member.present && !member.listed.leaving && member.listed.service == query.service &&
+  return member.present && !member.listed.leaving && !member.says_leaving &&
+         member.listed.service == query.service &&
          !this->rules.closed_domains.contains(member.listed.failure_domain);
 }
 
--- a/src/gateway/upstream_pool_limits.cc
+++ b/src/gateway/upstream_pool_limits.cc
@@ -1,5 +1,6 @@
 // The part of UpstreamPool that bounds the rate of requests at cold upstreams and at those that
-// state a limit, and that keeps requests from those that ask for a pause.
+// state a limit, and that keeps requests from those that ask for a pause
+// or leave.
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -91,6 +92,22 @@
          (!member.is_returning || now >= member.tried_at + this->settings.return_interval);
 }
 
+void UpstreamPool::OnLeaving(const UpstreamId& upstream) {
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->members.find(upstream);
+  if (found != this->members.end() && !std::exchange(found->second.says_leaving, true)) {
+    kLog.Info("An upstream says that it is leaving; it gets no new work.",
+              {{"upstream", upstream}, {"in_flight", found->second.in_flight}});
+  }
+}
+
+std::size_t UpstreamPool::LeavingCount() const {
+  const std::scoped_lock lock(this->mutex);
+  return static_cast<std::size_t>(std::count_if(
+      this->members.begin(), this->members.end(),
+      [](const auto& entry) { return entry.second.present && entry.second.says_leaving; }));
+}
+
 void UpstreamPool::OnPause(const UpstreamId& upstream, Duration pause, TimePoint now) {
   const std::scoped_lock lock(this->mutex);
   const auto found = this->members.find(upstream);
@@ -125,7 +142,8 @@
 bool UpstreamPool::MayStillSend(const UpstreamId& upstream, TimePoint now) const {
   const std::scoped_lock lock(this->mutex);
   const auto found = this->members.find(upstream);
-  return found == this->members.end() || now >= found->second.paused_until;
+  return found == this->members.end() ||
+         (!found->second.says_leaving && now >= found->second.paused_until);
 }
 
 std::size_t UpstreamPool::PausedCount(TimePoint now) const {
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -56,6 +56,7 @@
     facts.other_upstream = head.Header("Other-Upstream").has_value();
     facts.request = RequestId(std::string(head.Header("Id").value_or("")));
     facts.is_signed = head.Header("Signed").has_value();
+    facts.is_leaving = head.Header("Leaves").has_value();
     if (const auto pause = head.Header("Pause-Ms")) {
       facts.pause = milliseconds(std::stol(std::string(*pause)));
     }
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -257,6 +257,43 @@
   CHECK_FALSE(BodyOf(cut).whole);
 }
 
+// Guards against requests that reach an upstream which has said that it leaves, while the list,
+// which lags, still shows it as ready.
+TEST_CASE("an upstream that says it is leaving gets nothing new, whatever it answered") {
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 200 OK\r\nSigned: 1\r\nLeaves: 1\r\nContent-Length: 4\r\n\r\ngood",
+      "HTTP/1.1 404 Not Found\r\nSigned: 1\r\nLeaves: 1\r\nContent-Length: 4\r\n\r\nnone",
+      "HTTP/1.1 500 Bad\r\nSigned: 1\r\nLeaves: 1\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nLeaves: 1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nSigned: 1\r\nLeaves: 1\r\nContent-Length: 4\r\n\r\ngo"};
+  for (const std::string& answer : answers) {
+    CAPTURE(answer);
+    RawUpstream leaving([&](const RawCall& call) { call.Write(answer); });
+    RawUpstream staying([](const RawCall& call) { call.Write(kWhole); });
+    GatewayPath path(RouteOf(RouteKind::kIdempotent, 2));
+    path.SetUpstreams({leaving.Address(), staying.Address()});
+    path.Send(Post());
+    for (int request = 0; request < 5; ++request) {
+      path.SetUpstreams({leaving.Address(), staying.Address()});
+      CHECK(path.Send(Post()).Status() == 200);
+    }
+    CHECK(leaving.Calls() == 1);
+  }
+}
+
+TEST_CASE("a request whose upstreams are all leaving is refused at once as not run") {
+  RawUpstream leaving([](const RawCall& call) {
+    call.Write("HTTP/1.1 200 OK\r\nSigned: 1\r\nLeaves: 1\r\nContent-Length: 4\r\n\r\ngood");
+  });
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce));
+  path.SetUpstreams({leaving.Address()});
+  CHECK(path.Send(Post()).Status() == 200);
+  const CallerSaw refused = path.Send(Post());
+  CHECK(refused.Status() == 503);
+  CHECK(refused.Has("\"not_run\":\"true\""));
+  CHECK(leaving.Calls() == 1);
+}
+
 const std::string kPause =
     "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nPause-Ms: 30000\r\nContent-Length: 0\r\n\r\n";
 
--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -453,5 +453,25 @@
   CHECK(PickAt(*pool, 2).upstream.id == UpstreamId("a"));
 }
 
+TEST_CASE("an upstream that says it is leaving gets nothing until it starts again") {
+  const auto pool = MakePool();
+  ListedUpstream leaving = Listed("a", kNorth);
+  const ListedUpstream staying = Listed("b", kSouth);
+  pool->SetList({leaving, staying}, At(0));
+  pool->SetRules({TableWithColdStart(0), {}, {}});
+  pool->OnLeaving(UpstreamId("a"));
+  CHECK(pool->LeavingCount() == 1);
+  CHECK_FALSE(pool->MayStillSend(UpstreamId("a"), At(1)));
+  CHECK(PicksOf(*pool, "a", 1) == 0);
+  // The list lags, and may leave it out for a moment.
+  pool->SetList({staying}, At(2));
+  pool->SetList({leaving, staying}, At(3));
+  CHECK(PicksOf(*pool, "a", 3) == 0);
+  leaving.started_at = 7;
+  pool->SetList({leaving, staying}, At(5));
+  CHECK(PicksOf(*pool, "a", 5) > 0);
+  CHECK(pool->LeavingCount() == 0);
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
--- a/test/platform/edge_test.cc
+++ b/test/platform/edge_test.cc
@@ -55,7 +55,7 @@
   order.time_left = milliseconds(700);
   order.model = ModelId("m2");
   order.rank = 12;
-  order.after_event = "5";
+  order.after_event = std::string("5");
   const std::vector<HeaderField> sent = edge.write_attempt({"POST",
                                                             "/",
                                                             true,
@@ -105,6 +105,19 @@
   CHECK(CountOf(sent, "X-Tenant") == 0);
 }
 
+TEST_CASE("an upstream says in any answer that it is leaving") {
+  const auto is_leaving = [](int status, const std::string& value) {
+    return PlatformEdge().read_answer({status, true, {{"Server-Leaving", value}}}).is_leaving;
+  };
+  for (const int status : {200, 204, 404, 500, 503}) {
+    CHECK(is_leaving(status, "1"));
+  }
+  CHECK(is_leaving(200, " 1 "));
+  CHECK_FALSE(is_leaving(200, "0"));
+  CHECK_FALSE(is_leaving(200, ""));
+  CHECK_FALSE(PlatformEdge().read_answer({200, true, {}}).is_leaving);
+}
+
 TEST_CASE("an upstream that turns a request away may ask for a pause") {
   const auto facts = [](int status, const std::string& pause) {
     return PlatformEdge().read_answer({status, true, {{"Retry-After", pause}}});
