Hold a request back for long if it comes under suspicion a second time

A request that may not be the cause of the ends was held back for a minute each time, so that one which is the cause could have come back each minute. The end of held blocks is planned by a pure function, with a test; a change that was not acknowledged is planned again.

--- a/src/control/entry_report_controller.cc
+++ b/src/control/entry_report_controller.cc
@@ -105,6 +105,20 @@
   return changes.empty() ? "" : nlohmann::json{{"prompt_blocks", changes}}.dump();
 }
 
+std::string PlanEndOfHeldBlocks(const config::Configuration& current, const HeldBlocks& held,
+                                TimePoint now) {
+  nlohmann::json changes = nlohmann::json::object();
+  for (const auto& [part, block] : held) {
+    const auto found = current.prompt_blocks.find(part);
+    const bool is_blocked = found != current.prompt_blocks.end() &&
+                            found->second.state == config::PromptBlockState::kBlocked;
+    if (is_blocked && !block.has_ended && now - block.since > kHeldLifetime) {
+      changes[part.Value()] = nullptr;
+    }
+  }
+  return changes.empty() ? "" : nlohmann::json{{"prompt_blocks", changes}}.dump();
+}
+
 EntryReportController::EntryReportController(ReplicaRunner& replica,
                                              const state::ReplicatedState& state, FleetView& fleet,
                                              LeaseService& leases, OperatorAccess& access)
@@ -116,7 +130,7 @@
   const config::ConfigurationPtr current = this->state.Configuration();
   const bool is_leader = this->replica.Status().replica.role == consensus::Role::kLeader;
   if (is_leader) {
-    this->EndUncertainBlocks(*current);
+    this->EndHeldBlocks(*current);
   }
   const EntryReports collected = this->fleet.CollectEntryReports();
   net::EntryReportReply reply{{}, DemandsOf(collected.reports)};
@@ -162,33 +176,31 @@
   this->Commit(verdicts);
   for (const routing::PartVerdict& verdict : verdicts) {
     if (!verdict.is_certain) {
-      this->uncertain_since.insert_or_assign(verdict.part, this->clock.Now());
+      this->held.try_emplace(verdict.part, HeldBlock{this->clock.Now()});
     }
   }
 }
 
-/// Removes blocks whose verdicts were not certain, after their time.
-void EntryReportController::EndUncertainBlocks(const config::Configuration& current) {
+void EntryReportController::EndHeldBlocks(const config::Configuration& current) {
   const TimePoint now = this->clock.Now();
-  nlohmann::json changes = nlohmann::json::object();
-  std::erase_if(this->uncertain_since, [&](const auto& entry) {
-    const auto block = current.prompt_blocks.find(entry.first);
-    const bool is_blocked = block != current.prompt_blocks.end() &&
-                            block->second.state == config::PromptBlockState::kBlocked;
-    if (is_blocked && now - entry.second > kUncertainLifetime) {
-      changes[entry.first.Value()] = nullptr;
-    }
-    return now - entry.second > 2 * kUncertainLifetime;
+  std::erase_if(this->held, [&](const auto& entry) {
+    return now - entry.second.since > milliseconds(kBlockLifetimeMs);
   });
-  if (changes.empty()) {
+  const std::string patch = PlanEndOfHeldBlocks(current, this->held, now);
+  if (patch.empty()) {
     return;
   }
-  const std::string patch = nlohmann::json{{"prompt_blocks", changes}}.dump();
-  this->access.Change(
+  const ChangeOutcome outcome = this->access.Change(
       [&](const config::Configuration&) {
         return PlannedChange{patch, std::nullopt};
       },
-      kAuthor, "blocks of requests that may not be the cause have ended");
+      kAuthor, "requests that may not be the cause are no longer held back");
+  if (!outcome.acknowledged) {
+    return;
+  }
+  for (auto& [part, block] : this->held) {
+    block.has_ended = block.has_ended || now - block.since > kHeldLifetime;
+  }
 }
 
 void EntryReportController::ForgetLifted(routing::PromptEvidence& evidence,
--- a/src/control/entry_report_controller.h
+++ b/src/control/entry_report_controller.h
@@ -35,8 +35,24 @@
 std::string PlanPromptBlocks(const config::Configuration& current,
                              const std::vector<routing::PartVerdict>& verdicts, WallTimeMs now);
 
-/// The blocks of a verdict that is not certain end after this time.
-inline constexpr Duration kUncertainLifetime = seconds(60);
+/// How long a block holds whose verdict is not certain.
+inline constexpr Duration kHeldLifetime = seconds(60);
+
+/// A block whose verdict was not certain.
+struct HeldBlock {
+  TimePoint since;
+  /// It has ended. If the request comes under suspicion again, its block lasts as long as others.
+  bool has_ended = false;
+
+  friend bool operator==(const HeldBlock&, const HeldBlock&) = default;
+};
+
+using HeldBlocks = std::map<PromptPartId, HeldBlock>;
+
+/// The merge patch that removes the blocks whose time is over, of those that are in force; empty
+/// when there is none. Pure.
+std::string PlanEndOfHeldBlocks(const config::Configuration& current, const HeldBlocks& held,
+                                TimePoint now);
 
 /// Joins what entries report. Every control host tells its entries the demand of all, and asks them
 /// about prompt parts and requests under which upstreams may end; the leader blocks those that the
@@ -54,7 +70,7 @@
   void ForgetLifted(routing::PromptEvidence& evidence, const config::Configuration& current);
   void Block(const std::vector<routing::PartVerdict>& verdicts, const EntryReports& collected);
   void Commit(const std::vector<routing::PartVerdict>& verdicts);
-  void EndUncertainBlocks(const config::Configuration& current);
+  void EndHeldBlocks(const config::Configuration& current);
 
   ReplicaRunner& replica;
   const state::ReplicatedState& state;
@@ -64,9 +80,9 @@
   routing::PromptSettings settings;
   SystemClock clock;
   std::map<PromptPartId, TimePoint> lifted_at;
-  /// When this host blocked requests on verdicts that are not certain. A new leader does not know
-  /// them: their blocks then last as long as others.
-  std::map<PromptPartId, TimePoint> uncertain_since;
+  /// What this host has blocked on verdicts that are not certain. A new leader does not know it:
+  /// the blocks then last as long as others.
+  HeldBlocks held;
   PeriodicThread thread;
 };
 
--- a/test/control/prompt_block_plan_test.cc
+++ b/test/control/prompt_block_plan_test.cc
@@ -61,6 +61,23 @@
   CHECK(changes.at("255").is_null());
 }
 
+TEST_CASE("a request that may not be the cause is held back for a minute, the second time longer") {
+  const auto at = [](int in_seconds) {
+    return TimePoint() + std::chrono::hours(1) + seconds(in_seconds);
+  };
+  const PromptPartId held("request.held");
+  config::Configuration current;
+  current.prompt_blocks[held] = Block(kNow);
+  current.prompt_blocks[PromptPartId("request.certain")] = Block(kNow);
+  CHECK(PlanEndOfHeldBlocks(current, {{held, {at(0)}}}, at(60)).empty());
+  CHECK(Json::parse(PlanEndOfHeldBlocks(current, {{held, {at(0)}}}, at(61))) ==
+        Json{{"prompt_blocks", {{"request.held", nullptr}}}});
+  CHECK(PlanEndOfHeldBlocks(current, {{held, {at(0), true}}}, at(300)).empty());
+  // An operator's word counts more.
+  current.prompt_blocks[held] = Block(kNow, config::PromptBlockState::kLifted);
+  CHECK(PlanEndOfHeldBlocks(current, {{held, {at(0)}}}, at(61)).empty());
+}
+
 TEST_CASE("only blocked parts count as blocked, each with the age of the decision") {
   config::Configuration current;
   current.prompt_blocks[PromptPartId("a")] = Block(kNow - 700);
