--- a/test/control/crashing_fleet.h
+++ b/test/control/crashing_fleet.h
@@ -130,6 +130,16 @@
     }
     return text;
   }
+  /// Sound requests that are held back for a short time, since another cause is possible.
+  std::string HeldBack() const {
+    std::string text;
+    for (const PromptPartId& part : this->uncertain) {
+      if (!this->bad_wholes.contains(part)) {
+        text += (text.empty() ? "" : " ") + part.Value();
+      }
+    }
+    return text;
+  }
   /// Sound requests that a block kept from the upstreams.
   int Refused() const { return this->refused; }
   /// How many of the requests that come again and again are blocked.
--- a/test/control/prompt_blocks_fleet_test.cc
+++ b/test/control/prompt_blocks_fleet_test.cc
@@ -18,6 +18,7 @@
     CHECK(fleet.LateArrivals() <= kMaxLateArrivals);
     // No part of a sound request is blocked.
     CHECK(fleet.Blocked() == kBad.Value());
+    CHECK(fleet.HeldBack() == "");
   }
 }
 
