--- a/test/process/platform_hosts.h
+++ b/test/process/platform_hosts.h
@@ -34,8 +34,10 @@
 /// Hosts are addresses of the loopback range. Each runs an entry; the first runs control too.
 class PlatformHosts {
  public:
-  /// Starts the programs. The list of upstreams is read from the given address.
-  PlatformHosts(std::string list_address, int entry_count) : list_address(std::move(list_address)) {
+  /// Starts the programs. The list of upstreams is read from the given address. Further lines of
+  /// their settings files may be given.
+  PlatformHosts(std::string list_address, int entry_count, std::string more_settings = "")
+      : list_address(std::move(list_address)), more_settings(std::move(more_settings)) {
     this->folder.createDirectories();
     this->control = this->Start(1, "control");
     for (int host = 1; host <= entry_count; ++host) {
@@ -60,7 +62,8 @@
          << "\nSeeds=" << this->At(1, this->ports.operators)
          << "\nBootstrap=true\nUnknown.Field=1\nLimits.MemoryMb=110\nDataDir="
          << this->folder.path() << "/data\nCloudApi.Address=" << this->list_address
-         << "\nCloudApi.RatePerS=42.0\nBounds.GraceS=8\nBounds.SessionS=5\n";
+         << "\nCloudApi.RatePerS=42.0\nBounds.GraceS=8\nBounds.SessionS=5\n"
+         << this->more_settings;
     file.close();
     setenv("MASTICRILL_SETTINGS", path.c_str(), 1);
     return std::make_unique<fakes::ChildProcess>(
@@ -128,6 +131,7 @@
 
  private:
   std::string list_address;
+  std::string more_settings;
   Poco::TemporaryFile folder;
 
  public:
