Log what a change of the configuration costs: bytes, time to commit, to arrive and to apply

The commit logs its bytes and time, an entry what it received and how long that and the decoding took; the revision in force and the last decoding time are metrics. No logic changes.

--- a/include/masticrill/node/lease_client.h
+++ b/include/masticrill/node/lease_client.h
@@ -100,6 +100,7 @@
   bool was_granted = false;
   bool renew_soon = false;
   /// Used only by the client's thread.
+  TimePoint asked_at;
   net::EntryReportReply report_reply;
   config::LeaseHolder holder;
   config::NumberedDocument document;
--- a/src/control/operator_access.cc
+++ b/src/control/operator_access.cc
@@ -75,13 +75,16 @@
     if (!change.merge_patch) {
       return {true, {}};
     }
-    const CommitOutcome outcome = this->proposer.ProposeAndWait({state::EncodeCommand(
+    std::string command = state::EncodeCommand(
         state::PatchConfiguration{.patch_id = state::PatchId(SecureRandomHex(kPatchIdBytes)),
                                   .expected_number = current->number,
                                   .merge_patch = *change.merge_patch,
                                   .author = OperatorId(author),
                                   .reason = reason,
-                                  .at = this->clock.WallNow()})});
+                                  .at = this->clock.WallNow()});
+    const std::size_t size = command.size();
+    const TimePoint begin = this->clock.Now();
+    const CommitOutcome outcome = this->proposer.ProposeAndWait({std::move(command)});
     if (outcome.status != CommitStatus::kCommitted) {
       return {false, ToError(outcome.status)};
     }
@@ -90,8 +93,13 @@
           BOOST_LEAF_AUTO(result, ReadPatchResult(outcome.results.front()));
           switch (result.status) {
             case state::PatchStatus::kAccepted:
-              kLog.Info("A change of the configuration was committed.",
-                        {{"number", result.number}, {"author", author}, {"reason", reason}});
+              kLog.Info(
+                  "A change of the configuration was committed.",
+                  {{"number", result.number},
+                   {"author", author},
+                   {"reason", reason},
+                   {"bytes", size},
+                   {"commit_ms", duration_cast<milliseconds>(this->clock.Now() - begin).count()}});
               return std::optional(ChangeOutcome{true, {}});
             case state::PatchStatus::kStale:
               return std::optional<ChangeOutcome>();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -43,6 +43,7 @@
 /// Control hosts answer within milliseconds; after this time another one is asked.
 constexpr milliseconds kConnectTimeout{250};
 constexpr Duration kStopPoll = milliseconds(50);
+constexpr double kMsPerSecond = 1000;
 
 /// Passes each accepted connection to a function, on a thread of the server.
 class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory {
@@ -141,6 +142,7 @@
   mutable std::mutex view_mutex;
   std::condition_variable view_changed;
   GatewayViewPtr view;
+  std::atomic<std::int64_t> last_apply_ms = 0;
   std::atomic<TimePoint> stop_begun_at = TimePoint();
   std::atomic<StopPhase> phase = StopPhase::kServing;
   std::shared_ptr<node::ControlLink> link;
@@ -243,6 +245,7 @@
   if (declaration.revision == 0) {
     return;
   }
+  const TimePoint begin = this->clock.Now();
   RouteTablePtr table = current == nullptr ? nullptr : current->table;
   if (table == nullptr || table->revision != declaration.revision) {
     table = HandleErrors(
@@ -267,9 +270,12 @@
   }
   this->ForgetOldEvidence(*configuration);
   this->pool.SetRules(std::move(rules));
+  this->last_apply_ms = duration_cast<milliseconds>(this->clock.Now() - begin).count();
   kLog.Info("Declaration in force.", {{"number", configuration->number},
                                       {"revision", table->revision},
-                                      {"routes", table->routes.size()}});
+                                      {"routes", table->routes.size()},
+                                      {"bytes", declaration.text.size()},
+                                      {"apply_ms", this->last_apply_ms.load()}});
   {
     const std::scoped_lock lock(this->view_mutex);
     this->view = std::make_shared<const GatewayView>(GatewayView{configuration, table});
@@ -391,6 +397,12 @@
   writer.Gauge("masticrill_gateway_configuration_number",
                "The number of the configuration in force.",
                current == nullptr ? 0 : static_cast<double>(current->configuration->number));
+  writer.Gauge("masticrill_gateway_declaration_revision",
+               "The revision of the declaration in force.",
+               current == nullptr ? 0 : static_cast<double>(current->table->revision));
+  writer.Gauge("masticrill_gateway_declaration_apply_seconds",
+               "Time that the last declaration took from its receipt until it was in force.",
+               static_cast<double>(this->last_apply_ms.load()) / kMsPerSecond);
   writer.Gauge("masticrill_gateway_upstreams",
                "Upstreams that are listed or have requests in flight.",
                static_cast<double>(this->pool.UpstreamCount()));
--- a/src/node/lease_client.cc
+++ b/src/node/lease_client.cc
@@ -15,6 +15,14 @@
 /// Least time between two requests.
 constexpr milliseconds kMinInterval{100};
 
+std::size_t SizeOf(const config::ConfigurationDelta& delta) {
+  std::size_t bytes = delta.full_document.size();
+  for (const std::string& patch : delta.patches) {
+    bytes += patch.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 LeaseClient::LeaseClient(std::shared_ptr<ControlLink> link, net::Identity self, std::string address,
@@ -102,7 +110,8 @@
   {
     const std::lock_guard lock(this->mutex);
     request.known_number = this->document.number;
-    request_id = this->holder.OnRequestSent(this->clock.Now());
+    this->asked_at = this->clock.Now();
+    request_id = this->holder.OnRequestSent(this->asked_at);
   }
   const bool granted = HandleErrors(
       [&]() -> Result<bool> {
@@ -206,7 +215,12 @@
     valid_until = this->holder.ValidUntil();
   }
   if (received != nullptr) {
-    kLog.Info("Configuration in force.", {{"number", current->number}});
+    kLog.Info(
+        "Configuration in force.",
+        {{"number", current->number},
+         {"revision", current->declaration.revision},
+         {"received_bytes", SizeOf(*reply.delta)},
+         {"took_ms", duration_cast<milliseconds>(this->clock.Now() - this->asked_at).count()}});
   }
   if (valid_until) {
     this->on_lease(current, {*valid_until, std::max<std::uint32_t>(reply.entry_count, 1),
