Hold a lease and the configuration that it covers as one value at a gateway

Callers could be served under the former configuration for as long as the next one was being decoded, with the lease of the next one: the client took a grant before its configuration was in force, and a request took its table from one place and the validity of the lease from another. A request that was tried a second time kept the table of its arrival for all of its life.

The holder now judges a grant, the role puts its configuration in force, and only then the lease is taken. The view holds table, configuration and end of lease together. Each hand-over is made under the newest view; a request that the newest one handles differently is refused before it is sent on. A declaration that cannot be read no longer gets its lease. Routes that need no key are served with a lease only, as all others.

--- a/include/masticrill/config/lease.h
+++ b/include/masticrill/config/lease.h
@@ -60,6 +60,23 @@
   kNeedsConfiguration,  // The number is newer and its configuration did not come along.
 };
 
+/// A grant that may be taken: the configuration under which the holder takes new work, and until
+/// when.
+struct Lease {
+  ConfigurationPtr configuration;
+  TimePoint valid_until;
+
+  friend bool operator==(const Lease&, const Lease&) = default;
+};
+
+/// A grant as the holder judges it; the lease is set if it is taken.
+struct JudgedGrant {
+  GrantVerdict verdict = GrantVerdict::kUnknownRequest;
+  Lease lease;
+
+  friend bool operator==(const JudgedGrant&, const JudgedGrant&) = default;
+};
+
 /// Whether a node may take new work now.
 struct LeaseCheck {
   bool valid = false;
@@ -76,8 +93,16 @@
   /// Called right before a request is sent.
   LeaseRequestId OnRequestSent(TimePoint now);
 
-  /// Takes a grant. The configuration is the one of the grant's number, or empty where this node
-  /// holds it already. The number held never goes down.
+  /// Judges a grant, which answers its request once. The configuration is the one of the grant's
+  /// number, or empty where this node holds it already. The number held never goes down.
+  JudgedGrant Judge(LeaseRequestId request, const LeaseGrant& grant,
+                    const ConfigurationPtr& configuration);
+
+  /// Takes a lease. Called when its configuration is in force at this node, and not before: else
+  /// the node would act on the former one under a lease that does not cover it.
+  void Take(const Lease& lease);
+
+  /// Judges a grant and takes it at once, where its configuration is in force by being held.
   GrantVerdict OnGrant(LeaseRequestId request, const LeaseGrant& grant,
                        const ConfigurationPtr& configuration);
 
--- a/include/masticrill/node/lease_client.h
+++ b/include/masticrill/node/lease_client.h
@@ -35,7 +35,8 @@
 class LeaseClient {
  public:
   /// Called on the client's thread for each granted lease, with the configuration of that lease.
-  using LeaseHandler = std::function<void(const config::ConfigurationPtr&, const LeaseUpdate&)>;
+  /// Puts the configuration in force and returns whether it is; the lease is taken only then.
+  using LeaseHandler = std::function<bool(const config::ConfigurationPtr&, const LeaseUpdate&)>;
 
   /// Receives the shared list, which was read from its source `age` ago. The bytes of a version are
   /// passed once.
--- a/src/config/lease.cc
+++ b/src/config/lease.cc
@@ -42,25 +42,38 @@
   return this->configuration ? this->configuration->number : 0;
 }
 
-GrantVerdict LeaseHolder::OnGrant(LeaseRequestId request, const LeaseGrant& grant,
-                                  const ConfigurationPtr& configuration) {
+JudgedGrant LeaseHolder::Judge(LeaseRequestId request, const LeaseGrant& grant,
+                               const ConfigurationPtr& configuration) {
   const std::optional<TimePoint> sent = this->requests.Take(request);
   if (!sent) {
-    return GrantVerdict::kUnknownRequest;
+    return {GrantVerdict::kUnknownRequest, {}};
   }
   if (grant.number < this->KnownNumber()) {
-    return GrantVerdict::kOlderNumber;
+    return {GrantVerdict::kOlderNumber, {}};
   }
-  if (grant.number > this->KnownNumber() || !this->configuration) {
-    if (!configuration || configuration->number != grant.number) {
-      return GrantVerdict::kNeedsConfiguration;
-    }
-    this->configuration = configuration;
+  const bool is_newer = grant.number > this->KnownNumber() || !this->configuration;
+  if (is_newer && (!configuration || configuration->number != grant.number)) {
+    return {GrantVerdict::kNeedsConfiguration, {}};
   }
   const Duration length = std::clamp(grant.length, Duration::zero(), kLeaseLength);
   const TimePoint until = *sent + ShortenByDrift(length);
-  this->valid_until = std::max(this->valid_until.value_or(until), until);
-  return GrantVerdict::kTaken;
+  return {GrantVerdict::kTaken,
+          {is_newer ? configuration : this->configuration,
+           std::max(this->valid_until.value_or(until), until)}};
+}
+
+void LeaseHolder::Take(const Lease& lease) {
+  this->configuration = lease.configuration;
+  this->valid_until = lease.valid_until;
+}
+
+GrantVerdict LeaseHolder::OnGrant(LeaseRequestId request, const LeaseGrant& grant,
+                                  const ConfigurationPtr& configuration) {
+  const JudgedGrant judged = this->Judge(request, grant, configuration);
+  if (judged.verdict == GrantVerdict::kTaken) {
+    this->Take(judged.lease);
+  }
+  return judged.verdict;
 }
 
 LeaseCheck LeaseHolder::Check(TimePoint now) const {
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -91,6 +91,7 @@
         this->services.control, this->services.self, this->http->Address(),
         [this](const config::ConfigurationPtr& configuration, const node::LeaseUpdate&) {
           this->OnConfiguration(configuration);
+          return true;
         });
     this->rollout_guard = std::make_unique<RolloutGuard>(this->services);
     this->ready = true;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -91,7 +91,8 @@
   }
 }
 
-/// Finds the route, sets the deadline and checks the key and the lease.
+/// Waits for the first configuration, finds the route, checks the key and the lease, and sets the
+/// deadline.
 std::optional<Refusal> CallRunner::Admit() {
   this->AwaitLease();
   if (this->view == nullptr) {
@@ -99,26 +100,31 @@
                    "This node has no configuration yet. Retry later.",
                    this->context.settings.retry_after_no_lease};
   }
+  if (std::optional<Refusal> refusal = this->ReadRoute()) {
+    return refusal;
+  }
+  const milliseconds waits =
+      std::min(this->route->timeout, this->metadata.time_left.value_or(this->route->timeout));
+  this->deadline = this->arrived_at + Duration(waits);
+  return std::nullopt;
+}
+
+/// Finds the route and the owner of the key in the view, whose lease is checked first: a
+/// configuration that may be out of date says nothing about either.
+std::optional<Refusal> CallRunner::ReadRoute() {
+  if (std::optional<Refusal> refusal = this->CheckLease()) {
+    return refusal;
+  }
   const RouteTable& table = *this->view->table;
   this->route = table.FindRoute(this->request.Header("Host").value_or(""), this->request.Path());
-  const config::LeaseCheck lease = this->context.check_lease();
   if (this->route == nullptr) {
-    if (!lease.valid) {
-      return this->CheckLease();
-    }
     return Refusal{RefusalKind::kUnknownModel, Execution::kNotRun,
                    "No declared route matches this host and path. Check both.", std::nullopt};
   }
-  const milliseconds waits =
-      std::min(this->route->timeout, this->metadata.time_left.value_or(this->route->timeout));
-  this->deadline = this->arrived_at + Duration(waits);
-  this->owner.rank = this->route->rank;
+  this->owner = {TeamId(), this->route->rank};
   if (!table.requires_keys || this->route->is_public) {
     return std::nullopt;
   }
-  if (std::optional<Refusal> refusal = this->CheckLease()) {
-    return refusal;
-  }
   const KeyOwner* holder = table.FindKey(this->metadata.key);
   if (holder == nullptr) {
     return Refusal{RefusalKind::kUnauthenticated, Execution::kNotRun,
@@ -132,6 +138,34 @@
   return std::nullopt;
 }
 
+std::optional<Refusal> CallRunner::UseNewestView() {
+  const GatewayViewPtr newest = this->context.view();
+  if (newest == this->view) {
+    return this->CheckLease();
+  }
+  const GatewayViewPtr former = std::exchange(this->view, newest);
+  if (former->table == newest->table) {
+    return this->CheckLease();
+  }
+  const Route& admitted = *this->route;
+  const TeamId team = this->owner.team;
+  if (std::optional<Refusal> refusal = this->ReadRoute()) {
+    return refusal;
+  }
+  const std::vector<RouteTarget>& targets = this->route->targets;
+  const bool still_leads_there =
+      std::any_of(targets.begin(), targets.end(), [&](const RouteTarget& target) {
+        return target.weight > 0 && target.service == this->service;
+      });
+  if (still_leads_there && this->owner.team == team && this->route->kind == admitted.kind &&
+      this->route->models == admitted.models) {
+    return std::nullopt;
+  }
+  return Refusal{RefusalKind::kNoLease, Execution::kNotRun,
+                 "The configuration of this route has changed. Send the request again.",
+                 this->context.settings.retry_after};
+}
+
 /// Lets a request that arrives shortly before the first lease wait for it, but only for a share of
 /// the time that its caller waits, so that the answer can still be in time.
 void CallRunner::AwaitLease() {
@@ -144,10 +178,8 @@
   this->view = this->context.view();
 }
 
-/// Keys are accepted only while a lease shows that this node's configuration is current.
 std::optional<Refusal> CallRunner::CheckLease() const {
-  const config::LeaseCheck lease = this->context.check_lease();
-  if (lease.valid) {
+  if (this->view->HasLease(this->clock.Now())) {
     return std::nullopt;
   }
   return Refusal{RefusalKind::kNoLease, Execution::kNotRun,
@@ -347,12 +379,10 @@
   this->last_pick = *pick;
   UpstreamAttempt attempt(*pick, this->context.protocol, this->context.pool,
                           this->context.settings);
-  if (!this->owner.team.Empty()) {
-    // The lease may have expired while the request waited.
-    if (const std::optional<Refusal> refusal = this->CheckLease()) {
-      this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
-      return NextStep::kStop;
-    }
+  // The lease may have ended, or the configuration changed, while the request waited.
+  if (const std::optional<Refusal> refusal = this->UseNewestView()) {
+    this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
+    return NextStep::kStop;
   }
   const routing::EvidenceTable::WaitId wait =
       this->context.evidence.BeginWait(VersionOf(pick->upstream), this->Group(), this->clock.Now());
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -53,9 +53,7 @@
   GatewayMetrics& metrics;
   StreamPace& pace;
   AnswerLateness& lateness;
-  /// The lease at this moment.
-  std::function<config::LeaseCheck()> check_lease;
-  /// The configuration in force; null while there is none.
+  /// The configuration in force and its lease; null while there is none.
   std::function<GatewayViewPtr()> view;
   /// Waits for the first configuration, which comes with the first lease, until the given time at
   /// the latest. Returns at once when it is there already or no longer expected soon.
@@ -78,6 +76,10 @@
   enum class NextStep { kStop, kTryAgain };
 
   std::optional<Refusal> Admit();
+  std::optional<Refusal> ReadRoute();
+  /// Before a hand-over: turns to the newest configuration, and refuses the request where that
+  /// handles it differently or its lease has ended.
+  std::optional<Refusal> UseNewestView();
   void AwaitLease();
   std::optional<Refusal> CheckLease() const;
   /// While this process is stopping: refuses a stream that would probably outlast it.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -70,6 +70,10 @@
   Serve serve;
 };
 
+double LeaseLeftSeconds(const GatewayView& view, TimePoint now) {
+  return std::chrono::duration<double>(std::max(view.valid_until - now, Duration::zero())).count();
+}
+
 std::set<PromptPartId> BlockedParts(const config::Configuration& configuration) {
   std::set<PromptPartId> parts;
   for (const auto& [part, block] : configuration.prompt_blocks) {
@@ -101,7 +105,6 @@
                      this->metrics,
                      this->pace,
                      this->lateness,
-                     [this] { return this->leases->Check(this->clock.Now()); },
                      [this] { return this->View(); },
                      [this](TimePoint until) { this->AwaitLease(until); },
                      [this] { return this->EndsAt(); }},
@@ -109,7 +112,11 @@
 
   Result<void> Start(UpstreamListReader read_list);
   Result<void> StartServers();
-  void OnLease(const config::ConfigurationPtr& configuration);
+  bool OnLease(const config::ConfigurationPtr& configuration, TimePoint valid_until);
+  RouteTablePtr DecodeTable(const config::Declaration& declaration,
+                            const GatewayViewPtr& current) const;
+  void SetView(const config::ConfigurationPtr& configuration, const RouteTablePtr& table,
+               TimePoint valid_until);
   void ForgetOldEvidence(const config::Configuration& next);
   std::vector<net::RolloutReport> ReportRollouts() const;
   std::vector<net::RolloutWaits> ReportWaits() const;
@@ -189,7 +196,7 @@
         this->pool.SetRequestTurns(this->MakeTurns(news));
         this->prompts.OnLease(BlockedParts(*configuration), news.report_reply.suspect_parts,
                               this->clock.Now());
-        this->OnLease(configuration);
+        return this->OnLease(configuration, news.valid_until);
       },
       std::move(extras));
   if (!this->options.load_address.empty()) {
@@ -235,32 +242,23 @@
 }
 
 /// Puts a configuration in force: decodes its declaration if its revision is new, and passes the
-/// rules to the pool.
-void GatewayServer::State::OnLease(const config::ConfigurationPtr& configuration) {
+/// rules to the pool. Requests are handled under the former one meanwhile, as long as its own lease
+/// lasts. Returns false where the configuration cannot be put in force.
+bool GatewayServer::State::OnLease(const config::ConfigurationPtr& configuration,
+                                   TimePoint valid_until) {
   const GatewayViewPtr current = this->View();
   if (current != nullptr && current->configuration == configuration) {
-    return;
+    this->SetView(configuration, current->table, valid_until);
+    return true;
   }
   const config::Declaration& declaration = configuration->declaration;
   if (declaration.revision == 0) {
-    return;
+    return true;
   }
   const TimePoint begin = this->clock.Now();
-  RouteTablePtr table = current == nullptr ? nullptr : current->table;
-  if (table == nullptr || table->revision != declaration.revision) {
-    table = HandleErrors(
-        [&]() -> Result<RouteTablePtr> {
-          BOOST_LEAF_AUTO(decoded, this->protocol.read_declaration(declaration.text));
-          return std::make_shared<const RouteTable>(std::move(decoded));
-        },
-        [&](const Error& error) {
-          kLog.Error("Cannot read a new declaration; the previous one stays in force.",
-                     {{"revision", declaration.revision}, {"cause", error.message}});
-          return RouteTablePtr();
-        });
-  }
+  const RouteTablePtr table = this->DecodeTable(declaration, current);
   if (table == nullptr) {
-    return;
+    return false;
   }
   PoolRules rules{table, {}, configuration->service_rollouts};
   for (const auto& [domain, setting] : configuration->failure_domains) {
@@ -270,17 +268,45 @@
   }
   this->ForgetOldEvidence(*configuration);
   this->pool.SetRules(std::move(rules));
-  this->last_apply_ms = duration_cast<milliseconds>(this->clock.Now() - begin).count();
-  kLog.Info("Declaration in force.", {{"number", configuration->number},
-                                      {"revision", table->revision},
-                                      {"routes", table->routes.size()},
-                                      {"bytes", declaration.text.size()},
-                                      {"apply_ms", this->last_apply_ms.load()}});
-  {
-    const std::scoped_lock lock(this->view_mutex);
-    this->view = std::make_shared<const GatewayView>(GatewayView{configuration, table});
-  }
+  this->SetView(configuration, table, valid_until);
+  const TimePoint now = this->clock.Now();
+  this->last_apply_ms = duration_cast<milliseconds>(now - begin).count();
+  kLog.Info(
+      "Declaration in force.",
+      {{"number", configuration->number},
+       {"revision", table->revision},
+       {"routes", table->routes.size()},
+       {"bytes", declaration.text.size()},
+       {"apply_ms", this->last_apply_ms.load()},
+       {"former_lease_left_ms",
+        current == nullptr ? 0 : duration_cast<milliseconds>(current->valid_until - now).count()}});
   this->view_changed.notify_all();
+  return true;
+}
+
+/// The table of a declaration: the one in force where its revision is the same, null where it
+/// cannot be read.
+RouteTablePtr GatewayServer::State::DecodeTable(const config::Declaration& declaration,
+                                                const GatewayViewPtr& current) const {
+  if (current != nullptr && current->table->revision == declaration.revision) {
+    return current->table;
+  }
+  return HandleErrors(
+      [&]() -> Result<RouteTablePtr> {
+        BOOST_LEAF_AUTO(decoded, this->protocol.read_declaration(declaration.text));
+        return std::make_shared<const RouteTable>(std::move(decoded));
+      },
+      [&](const Error& error) {
+        kLog.Error("Cannot read a new declaration; its lease is not taken.",
+                   {{"revision", declaration.revision}, {"cause", error.message}});
+        return RouteTablePtr();
+      });
+}
+
+void GatewayServer::State::SetView(const config::ConfigurationPtr& configuration,
+                                   const RouteTablePtr& table, TimePoint valid_until) {
+  const std::scoped_lock lock(this->view_mutex);
+  this->view = std::make_shared<const GatewayView>(GatewayView{configuration, table, valid_until});
 }
 
 /// Waits for the first configuration, which comes with the first lease.
@@ -361,8 +387,9 @@
 }
 
 bool GatewayServer::State::IsReady() const {
-  return this->phase == StopPhase::kServing && this->View() != nullptr && this->pool.HasList() &&
-         this->leases->Check(this->clock.Now()).valid;
+  const GatewayViewPtr current = this->View();
+  return this->phase == StopPhase::kServing && current != nullptr && this->pool.HasList() &&
+         current->HasLease(this->clock.Now());
 }
 
 void GatewayServer::State::StopAccepting() {
@@ -393,13 +420,16 @@
   const GatewayViewPtr current = this->View();
   MetricsWriter writer;
   writer.Gauge("masticrill_gateway_lease_valid", "1 while this node holds a valid lease.",
-               this->leases->Check(this->clock.Now()).valid ? 1 : 0);
+               current != nullptr && current->HasLease(this->clock.Now()) ? 1 : 0);
   writer.Gauge("masticrill_gateway_configuration_number",
                "The number of the configuration in force.",
                current == nullptr ? 0 : static_cast<double>(current->configuration->number));
   writer.Gauge("masticrill_gateway_declaration_revision",
                "The revision of the declaration in force.",
                current == nullptr ? 0 : static_cast<double>(current->table->revision));
+  writer.Gauge("masticrill_gateway_lease_left_seconds",
+               "Time until this node stops taking requests unless its lease is renewed.",
+               current == nullptr ? 0 : LeaseLeftSeconds(*current, this->clock.Now()));
   writer.Gauge("masticrill_gateway_declaration_apply_seconds",
                "Time that the last declaration took from its receipt until it was in force.",
                static_cast<double>(this->last_apply_ms.load()) / kMsPerSecond);
--- a/src/node/lease_client.cc
+++ b/src/node/lease_client.cc
@@ -203,31 +203,34 @@
       return false;
     }
   }
-  config::ConfigurationPtr current;
-  std::optional<TimePoint> valid_until;
+  config::JudgedGrant judged;
   {
     const std::lock_guard lock(this->mutex);
     const config::LeaseGrant grant{reply.number, milliseconds(reply.length_ms)};
-    if (this->holder.OnGrant(request, grant, received) != config::GrantVerdict::kTaken) {
-      return false;
-    }
-    current = this->holder.Current();
-    valid_until = this->holder.ValidUntil();
+    judged = this->holder.Judge(request, grant, received);
+  }
+  if (judged.verdict != config::GrantVerdict::kTaken) {
+    return false;
+  }
+  const LeaseUpdate update{judged.lease.valid_until, std::max<std::uint32_t>(reply.entry_count, 1),
+                           this->RankOfThisEntry(reply.load_addresses), reply.load_addresses,
+                           this->report_reply};
+  if (!this->on_lease(judged.lease.configuration, update)) {
+    return false;
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    this->holder.Take(judged.lease);
   }
   if (received != nullptr) {
     kLog.Info(
         "Configuration in force.",
-        {{"number", current->number},
-         {"revision", current->declaration.revision},
+        {{"number", received->number},
+         {"revision", received->declaration.revision},
          {"received_bytes", SizeOf(*reply.delta)},
          {"took_ms", duration_cast<milliseconds>(this->clock.Now() - this->asked_at).count()}});
   }
-  if (valid_until) {
-    this->on_lease(current, {*valid_until, std::max<std::uint32_t>(reply.entry_count, 1),
-                             this->RankOfThisEntry(reply.load_addresses), reply.load_addresses,
-                             this->report_reply});
-    this->SendReport();
-  }
+  this->SendReport();
   return true;
 }
 
--- a/src/sidecar/sidecar_server.cc
+++ b/src/sidecar/sidecar_server.cc
@@ -85,6 +85,7 @@
         this->link, credentials.self, this->rpc->Address(),
         [this](const config::ConfigurationPtr& configuration, const node::LeaseUpdate& news) {
           this->OnLease(configuration, news.valid_until);
+          return true;
         });
     this->ticker = std::thread([this] { this->Tick(); });
     this->reporter = std::thread([this] { this->ReportReceipts(); });
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -81,24 +82,34 @@
 class GatewayPath {
  public:
   explicit GatewayPath(gateway::Route prototype) : budgets(settings) {
+    this->Declare(std::move(prototype));
+  }
+
+  /// Puts a table with this route only in force.
+  void Declare(gateway::Route prototype) {
     prototype.id = gateway::RouteId("route");
     prototype.host = "host";
-    prototype.path_prefix = "/";
-    prototype.targets = {{kService, 1}};
+    if (prototype.path_prefix.empty()) {
+      prototype.path_prefix = "/";
+    }
+    if (prototype.targets.empty()) {
+      prototype.targets = {{kService, 1}};
+    }
     if (prototype.timeout.count() == 0) {
       prototype.timeout = milliseconds(20'000);
     }
     if (prototype.latency_target.count() == 0) {
       prototype.latency_target = milliseconds(5'000);
     }
-    gateway::RouteTable table;
-    table.revision = 1;
-    table.routes.emplace(prototype.id, prototype);
-    table.services[kService] = {kService, 0, {}, true, 1, {}};
-    table.key_owners["good-key"] = {TeamId("team"), std::nullopt};
-    table.requires_keys = !prototype.is_public;
-    gateway::IndexRoutes(table);
-    this->table = std::make_shared<const gateway::RouteTable>(std::move(table));
+    gateway::RouteTable next;
+    next.revision = ++this->revision;
+    next.routes.emplace(prototype.id, prototype);
+    next.services[kService] = {kService, 0, {}, true, 1, {}};
+    next.key_owners["good-key"] = {TeamId("team"), std::nullopt};
+    next.requires_keys = !prototype.is_public;
+    gateway::IndexRoutes(next);
+    const std::scoped_lock lock(this->table_mutex);
+    this->table = std::make_shared<const gateway::RouteTable>(std::move(next));
     this->pool.SetRules({this->table, {}, {}});
   }
 
@@ -144,7 +155,7 @@
                                              SystemClock().Now() + seconds(10), nullptr, end);
     this->threads.emplace_back([this, accepted = this->listener.acceptConnection()] {
       gateway::CallerConnection connection(
-          net::SocketStream(accepted), [this] { return this->table->limits; },
+          net::SocketStream(accepted), [this] { return this->Table()->limits; },
           [this] { return this->phase.load(); },
           [this](const net::RequestHead& head, const std::string& body,
                  gateway::CallerStream& stream, TimePoint arrived_at) {
@@ -174,29 +185,32 @@
   gateway::PromptGuard prompts;
 
  private:
+  gateway::RouteTablePtr Table() {
+    const std::scoped_lock lock(this->table_mutex);
+    return this->table;
+  }
+
   gateway::EdgeProtocol edge = TestEdge();
   gateway::RetryBudgets budgets;
+  std::uint64_t revision = 0;
+  std::mutex table_mutex;
   gateway::RouteTablePtr table;
-  gateway::CallContext parts{edge,
-                             settings,
-                             pool,
-                             budgets,
-                             evidence,
-                             prompts,
-                             metrics,
-                             pace,
-                             lateness,
-                             [this] {
-                               config::LeaseCheck check;
-                               check.valid = this->lease_valid;
-                               return check;
-                             },
-                             [this] {
-                               return std::make_shared<const gateway::GatewayView>(
-                                   gateway::GatewayView{nullptr, this->table});
-                             },
-                             [](TimePoint) {},
-                             [this] { return this->ends_at; }};
+  gateway::CallContext parts{
+      edge,
+      settings,
+      pool,
+      budgets,
+      evidence,
+      prompts,
+      metrics,
+      pace,
+      lateness,
+      [this] {
+        return std::make_shared<const gateway::GatewayView>(gateway::GatewayView{
+            nullptr, this->Table(), this->lease_valid ? TimePoint::max() : TimePoint::min()});
+      },
+      [](TimePoint) {},
+      [this] { return this->ends_at; }};
   Poco::Net::ServerSocket listener{Poco::Net::SocketAddress("127.0.0.1:0")};
   std::vector<std::thread> threads;
 };
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -502,6 +502,43 @@
   CHECK(upstream.Calls() == 0);
 }
 
+// Guards against requests that are sent on under a configuration which was replaced while they
+// waited or were tried elsewhere.
+TEST_CASE("a further attempt is made under the newest configuration, or the request is refused") {
+  Route moved = RouteOf(RouteKind::kAtMostOnce, 3);
+  moved.targets = {{ServiceId("other"), 1}};
+  Route dropped = RouteOf(RouteKind::kAtMostOnce, 3);
+  dropped.path_prefix = "/elsewhere/";
+  Route longer = RouteOf(RouteKind::kAtMostOnce, 3);
+  longer.latency_target = milliseconds(9000);
+  const std::vector<std::pair<Route, int>> cases = {{moved, 503}, {dropped, 404}, {longer, 200}};
+  for (const auto& test_case : cases) {
+    const Route& next = test_case.first;
+    CAPTURE(test_case.second);
+    GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 3));
+    RawUpstream first([&](const RawCall& call) {
+      path.Declare(next);
+      call.Write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    RawUpstream second([](const RawCall& call) { call.Write(kWhole); });
+    path.SetUpstreams({first.Address(), second.Address()});
+    CHECK(path.Send(Post()).Status() == test_case.second);
+    CHECK(second.Calls() == (test_case.second == 200 ? 1 : 0));
+  }
+}
+
+TEST_CASE("a public route is served only with a lease, too") {
+  RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
+  Route route = RouteOf(RouteKind::kAtMostOnce);
+  route.is_public = true;
+  GatewayPath path(route);
+  path.SetUpstreams({upstream.Address()});
+  CHECK(path.Send(Post("")).Status() == 200);
+  path.lease_valid = false;
+  CHECK(path.Send(Post("")).Status() == 503);
+  CHECK(upstream.Calls() == 1);
+}
+
 TEST_CASE("no route: 404 with a valid lease, 503 without one") {
   GatewayPath path(RouteOf(RouteKind::kAtMostOnce));
   const std::string request = "GET /x HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n";
