Acknowledge a declaration when no earlier lease outlasts the deployment's bound

Cause, hypothesis 3: a change was acknowledged when it was committed; leases last up to 4 s from the quorum's last word in every deployment, and the stated bound (ConfigApplyMs) was read nowhere. An entry that does not get a change acts on the former one until its lease ends.

Control hosts remember when they applied each of the last revisions and acknowledge a declaration, a resend of it, and one that a higher revision has overtaken, 4 s less the bound after that: a lease from before ends at most 4 s after the commit, whatever is slow, so it lasts no longer than the bound after the acknowledgement. With the bounds of the users' deployments an acknowledgement takes 1.5 to 2 s longer, within 4 to 5 s allowed. A shorter lease was weighed: half the time to bear the loss of a leader.

--- a/include/masticrill/config/document.h
+++ b/include/masticrill/config/document.h
@@ -51,6 +51,9 @@
 /// Returns the least patches between a document and the one that replaces it.
 Result<DocumentChange> ReplaceDocument(std::string_view document, std::string_view new_document);
 
+/// The merge patch that sets a declaration with its whole text.
+std::string MakeDeclarationPatch(const Declaration& declaration);
+
 /// A small valid document with one of everything, for `masticrill dev` and for readers. Its keys
 /// are listed in its "keys" members under salt and hash; the secrets are "dev-guild-key",
 /// "dev-lux-key" and, for the operator, "dev-operator-key".
--- a/include/masticrill/config/lease.h
+++ b/include/masticrill/config/lease.h
@@ -23,6 +23,11 @@
 /// Requests whose answers are awaited; older ones are forgotten.
 inline constexpr std::size_t kMaxPendingLeaseRequests = 8;
 
+/// How long after a number was applied at a control host it is acknowledged, so that no lease of an
+/// earlier number lasts longer than the bound from then on: such leases end at most kLeaseLength
+/// after the number was accepted.
+Duration AcknowledgementDelay(Duration bound);
+
 /// Numbers the requests of one holder or granter, so that an answer finds its sending time.
 using LeaseRequestId = std::uint64_t;
 
--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -9,6 +9,7 @@
 #include "masticrill/common/clock.h"
 #include "masticrill/common/name.h"
 #include "masticrill/common/result.h"
+#include "masticrill/config/lease.h"
 #include "masticrill/control/operator_access.h"
 #include "masticrill/net/http_server.h"
 #include "masticrill/routing/service_rollout.h"
@@ -102,6 +103,9 @@
   /// Key that may change the configuration as long as the configuration lists no operator; empty
   /// for none.
   std::string bootstrap_operator_key;
+  /// The longest time after the acknowledgement of a declaration for which a node may act on an
+  /// earlier one. A shorter bound delays the acknowledgement.
+  Duration change_bound = config::kLeaseLength;
   int max_rpc_connections = 1200;
   int max_http_connections = 64;
   ControlTimings timings = {};
--- a/include/masticrill/control/operator_access.h
+++ b/include/masticrill/control/operator_access.h
@@ -40,6 +40,12 @@
   /// of attempts, when another change was committed in the meantime.
   virtual ChangeOutcome Change(const Planner& plan, const std::string& author,
                                const std::string& reason) = 0;
+
+  /// Puts a declaration in force if its revision is higher than the current one, and acknowledges
+  /// it, or the higher one, when no node acts on an earlier one later than the deployment's bound
+  /// from then on.
+  virtual ChangeOutcome Declare(const config::Declaration& declaration,
+                                const std::string& author) = 0;
 };
 
 }  // namespace masticrill::control
--- a/src/config/document.cc
+++ b/src/config/document.cc
@@ -205,6 +205,12 @@
   return Compare(from, to);
 }
 
+std::string MakeDeclarationPatch(const Declaration& declaration) {
+  const Json patch = {
+      {"declaration", {{"revision", declaration.revision}, {"text", declaration.text}}}};
+  return patch.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 std::string ExampleDocument() {
   const auto key = [](std::string_view secret) { return ToJson(HashKey(kExampleSalt, secret)); };
   Json operator_key = key("dev-operator-key");
--- a/src/config/lease.cc
+++ b/src/config/lease.cc
@@ -14,6 +14,10 @@
 
 }  // namespace
 
+Duration AcknowledgementDelay(Duration bound) {
+  return std::clamp(kLeaseLength - bound, Duration::zero(), kLeaseLength);
+}
+
 LeaseRequestId PendingRequests::Add(TimePoint now) {
   if (this->pending.size() == kMaxPendingLeaseRequests) {
     this->pending.pop_front();
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -22,6 +22,7 @@
 #include "control/peer_transport.h"
 #include "control/proposer.h"
 #include "control/replica_runner.h"
+#include "control/revision_times.h"
 #include "control/rollout_controller.h"
 #include "control/rpc_service.h"
 #include "control/upkeep.h"
@@ -65,6 +66,7 @@
   NodeRegistry nodes;
   AddressBook addresses;
   std::shared_ptr<KeyedThreadPool> reply_threads;
+  RevisionTimes revision_times;
   std::unique_ptr<PeerTransport> transport;
   std::unique_ptr<ReplicaRunner> replica;
   std::unique_ptr<GroupMonitor> monitor;
@@ -107,8 +109,8 @@
   this->lists = std::make_unique<ListService>(this->options, *this->replica, this->addresses);
   this->leases =
       std::make_unique<LeaseService>(*this->replica, this->replicated, this->nodes, *this->lists);
-  this->access = std::make_unique<ReplicatedOperatorAccess>(this->options, *this->replica,
-                                                            this->replicated, *this->proposer);
+  this->access = std::make_unique<ReplicatedOperatorAccess>(
+      this->options, *this->replica, this->replicated, *this->proposer, this->revision_times);
   this->upkeep =
       std::make_unique<Upkeep>(this->options, *this->replica, this->replicated, *this->proposer,
                                *this->members, *this->fleet, this->addresses, *this->leases);
@@ -127,7 +129,10 @@
   BOOST_LEAF_CHECK(this->options.may_vote ? RemoveDiscarded(this->options.data_folder)
                                           : RemoveFiles(this->options.data_folder));
   this->replica =
-      std::make_unique<ReplicaRunner>(this->options, *this->transport, this->replicated, [] {});
+      std::make_unique<ReplicaRunner>(this->options, *this->transport, this->replicated, [this] {
+        this->revision_times.Observe(this->replicated.Configuration()->declaration.revision,
+                                     SystemClock().Now());
+      });
   BOOST_LEAF_AUTO(self, this->replica->Open());
   LogDataFolder(this->replica->Status().replica);
   BOOST_LEAF_AUTO(writer, OutcomeWriter::Start(this->options.data_folder, this->replicated));
--- a/src/control/operator_access.cc
+++ b/src/control/operator_access.cc
@@ -8,6 +8,8 @@
 #include "masticrill/common/log.h"
 #include "masticrill/common/random.h"
 #include "masticrill/common/result.h"
+#include "masticrill/config/document.h"
+#include "masticrill/config/lease.h"
 #include "masticrill/state/codec.h"
 
 namespace masticrill::control {
@@ -31,6 +33,13 @@
               "The change has a result of an unexpected type. Report this bug.");
 }
 
+ChangeOutcome OvertakenEachTime() {
+  return {false,
+          {ErrorKind::kUnavailable,
+           "In every attempt, another change was committed first; nothing was changed. Send the "
+           "change again."}};
+}
+
 }  // namespace
 
 bool AwaitCurrentState(ReplicaRunner& replica, const ControlTimings& timings) {
@@ -75,53 +84,86 @@
     if (!change.merge_patch) {
       return {true, {}};
     }
-    std::string command = state::EncodeCommand(
+    CommitEnd ended = this->Commit(
         state::PatchConfiguration{.patch_id = state::PatchId(SecureRandomHex(kPatchIdBytes)),
                                   .expected_number = current->number,
                                   .merge_patch = *change.merge_patch,
                                   .author = OperatorId(author),
                                   .reason = reason,
-                                  .at = this->clock.WallNow()});
-    const std::size_t size = command.size();
-    const TimePoint begin = this->clock.Now();
-    const CommitOutcome outcome = this->proposer.ProposeAndWait({std::move(command)});
-    if (outcome.status != CommitStatus::kCommitted) {
-      return {false, ToError(outcome.status)};
-    }
-    std::optional<ChangeOutcome> ended = HandleErrors(
-        [&]() -> Result<std::optional<ChangeOutcome>> {
-          BOOST_LEAF_AUTO(result, ReadPatchResult(outcome.results.front()));
-          switch (result.status) {
-            case state::PatchStatus::kAccepted:
-              kLog.Info(
-                  "A change of the configuration was committed.",
-                  {{"number", result.number},
-                   {"author", author},
-                   {"reason", reason},
-                   {"bytes", size},
-                   {"commit_ms", duration_cast<milliseconds>(this->clock.Now() - begin).count()}});
-              return std::optional(ChangeOutcome{true, {}});
-            case state::PatchStatus::kStale:
-              return std::optional<ChangeOutcome>();
-            case state::PatchStatus::kInvalid:
-              return Fail(ErrorKind::kInvalidConfiguration, result.message);
-            case state::PatchStatus::kIdConflict:
-            case state::PatchStatus::kFull:
-              break;
-          }
-          return Fail(ErrorKind::kUnavailable, result.message);
-        },
-        [](const Error& error) {
-          return std::optional(ChangeOutcome{false, error});
-        });
+                                  .at = this->clock.WallNow()},
+        author, reason);
     if (ended) {
       return *std::move(ended);
     }
   }
-  return {false,
-          {ErrorKind::kUnavailable,
-           "In every attempt, another change was committed first; nothing was changed. Send the "
-           "change again."}};
+  return OvertakenEachTime();
+}
+
+ReplicatedOperatorAccess::CommitEnd ReplicatedOperatorAccess::Commit(const state::Command& command,
+                                                                     const std::string& author,
+                                                                     const std::string& reason) {
+  std::string bytes = state::EncodeCommand(command);
+  const std::size_t size = bytes.size();
+  const TimePoint begin = this->clock.Now();
+  const CommitOutcome outcome = this->proposer.ProposeAndWait({std::move(bytes)});
+  if (outcome.status != CommitStatus::kCommitted) {
+    return ChangeOutcome{false, ToError(outcome.status)};
+  }
+  return HandleErrors(
+      [&]() -> Result<CommitEnd> {
+        BOOST_LEAF_AUTO(result, ReadPatchResult(outcome.results.front()));
+        switch (result.status) {
+          case state::PatchStatus::kAccepted:
+            kLog.Info(
+                "A change of the configuration was committed.",
+                {{"number", result.number},
+                 {"author", author},
+                 {"reason", reason},
+                 {"bytes", size},
+                 {"commit_ms", duration_cast<milliseconds>(this->clock.Now() - begin).count()}});
+            return CommitEnd(ChangeOutcome{true, {}});
+          case state::PatchStatus::kStale:
+            return CommitEnd();
+          case state::PatchStatus::kInvalid:
+            return Fail(ErrorKind::kInvalidConfiguration, result.message);
+          case state::PatchStatus::kIdConflict:
+          case state::PatchStatus::kFull:
+            break;
+        }
+        return Fail(ErrorKind::kUnavailable, result.message);
+      },
+      [](const Error& error) {
+        return CommitEnd(ChangeOutcome{false, error});
+      });
+}
+
+ChangeOutcome ReplicatedOperatorAccess::Declare(const config::Declaration& declaration,
+                                                const std::string& author) {
+  ChangeOutcome outcome = this->Change(
+      [&](const config::Configuration& current) {
+        if (current.declaration.revision >= declaration.revision) {
+          return PlannedChange{};
+        }
+        return PlannedChange{config::MakeDeclarationPatch(declaration), std::nullopt};
+      },
+      author, "revision " + std::to_string(declaration.revision));
+  if (outcome.acknowledged) {
+    this->AwaitEarlierLeases(declaration.revision);
+  }
+  return outcome;
+}
+
+/// A lease from before the revision was committed ends at most a lease's length later. Waits until
+/// what is left of it is within the bound.
+void ReplicatedOperatorAccess::AwaitEarlierLeases(std::uint64_t revision) const {
+  const TimePoint applied_at = this->revision_times.AppliedAt(revision).value_or(this->clock.Now());
+  const TimePoint until = applied_at + config::AcknowledgementDelay(this->options.change_bound);
+  std::mutex mutex;
+  std::condition_variable timer;
+  std::unique_lock lock(mutex);
+  while (this->clock.Now() < until) {
+    timer.wait_for(lock, until - this->clock.Now());
+  }
 }
 
 }  // namespace masticrill::control
--- a/src/control/operator_access.h
+++ b/src/control/operator_access.h
@@ -1,12 +1,15 @@
 #ifndef MASTICRILL_CONTROL_REPLICATED_OPERATOR_ACCESS_H_
 #define MASTICRILL_CONTROL_REPLICATED_OPERATOR_ACCESS_H_
 
+#include <optional>
 #include <string>
 
 #include "control/proposer.h"
 #include "control/replica_runner.h"
+#include "control/revision_times.h"
 #include "masticrill/control/control_options.h"
 #include "masticrill/control/operator_access.h"
+#include "masticrill/state/commands.h"
 #include "masticrill/state/replicated_state.h"
 
 namespace masticrill::control {
@@ -20,18 +23,32 @@
  public:
   /// The arguments must outlive this object.
   ReplicatedOperatorAccess(const ControlOptions& options, ReplicaRunner& replica,
-                           const state::ReplicatedState& state, Proposer& proposer)
-      : options(options), replica(replica), state(state), proposer(proposer) {}
+                           const state::ReplicatedState& state, Proposer& proposer,
+                           const RevisionTimes& revision_times)
+      : options(options),
+        replica(replica),
+        state(state),
+        proposer(proposer),
+        revision_times(revision_times) {}
 
   config::ConfigurationPtr ReadCurrent() override;
   ChangeOutcome Change(const Planner& plan, const std::string& author,
                        const std::string& reason) override;
+  ChangeOutcome Declare(const config::Declaration& declaration, const std::string& author) override;
 
  private:
+  /// The end of an attempt to commit; absent when another change was committed first.
+  using CommitEnd = std::optional<ChangeOutcome>;
+
+  CommitEnd Commit(const state::Command& command, const std::string& author,
+                   const std::string& reason);
+  void AwaitEarlierLeases(std::uint64_t revision) const;
+
   const ControlOptions& options;
   ReplicaRunner& replica;
   const state::ReplicatedState& state;
   Proposer& proposer;
+  const RevisionTimes& revision_times;
   SystemClock clock;
 };
 
--- a/test/config/lease_test.cc
+++ b/test/config/lease_test.cc
@@ -248,5 +248,18 @@
   }
 }
 
+TEST_CASE("an acknowledgement leaves no earlier lease more than the bound") {
+  for (const milliseconds bound : {milliseconds(0), milliseconds(250), milliseconds(2000),
+                                   milliseconds(2500), milliseconds(4000), milliseconds(11'000)}) {
+    CAPTURE(bound.count());
+    const Duration delay = AcknowledgementDelay(Duration(bound));
+    CHECK(delay >= Duration::zero());
+    // A lease on evidence from right before the change, which is granted and taken at once.
+    CHECK(kLeaseLength <= delay + Duration(bound));
+    CHECK(delay <= kLeaseLength);
+  }
+  CHECK(AcknowledgementDelay(kLeaseLength) == Duration::zero());
+}
+
 }  // namespace
 }  // namespace masticrill::config
--- a/test/platform/operator_frontend_test.cc
+++ b/test/platform/operator_frontend_test.cc
@@ -40,6 +40,18 @@
     return {true, {}};
   }
 
+  control::ChangeOutcome Declare(const config::Declaration& declaration,
+                                 const std::string& author) override {
+    return this->Change(
+        [&](const config::Configuration& current) {
+          return current.declaration.revision >= declaration.revision
+                     ? control::PlannedChange{}
+                     : control::PlannedChange{config::MakeDeclarationPatch(declaration),
+                                              std::nullopt};
+        },
+        author, "");
+  }
+
   config::ConfigurationPtr Parsed() const {
     return HandleErrors(
         [&]() -> Result<config::ConfigurationPtr> {
--- a/test/platform/platform_settings_test.cc
+++ b/test/platform/platform_settings_test.cc
@@ -15,7 +15,8 @@
     "Listen.Control=10.1.0.19:8229\nInternalPorts=7340,7355\n"
     "Seeds=10.1.0.19:8229, 10.2.0.36:8229\nBootstrap=true\nLimits.MemoryMb=110\n"
     "DataDir=/data/x\nCloudApi.Address=10.200.0.61:8223\nCloudApi.RatePerS=42.0\n"
-    "Bounds.GraceS=8\nBounds.SessionS=5\nBounds.ExposeShare=0.15\nBounds.ExposeSlack=40\n";
+    "Bounds.GraceS=8\nBounds.SessionS=5\nBounds.ExposeShare=0.15\nBounds.ExposeSlack=40\n"
+    "Bounds.ConfigApplyMs=2000\n";
 
 /// The message of the error, or "" for settings that are read.
 std::string FaultOf(const std::string& text) {
@@ -49,8 +50,10 @@
   CHECK(settings.is_first_start);
   CHECK(settings.stop_grace == seconds(8));
   CHECK(settings.exposed_share == 0.15);
+  CHECK(settings.change_bound == milliseconds(2000));
   CHECK(settings.exposed_slack == 40);
   CHECK_FALSE(Parse(With("Bounds.ExposeShare", "")).exposed_share);
+  CHECK_FALSE(Parse(With("Bounds.ConfigApplyMs", "")).change_bound);
   CHECK(InternalAddress(settings, settings.seeds[1]) == "10.2.0.36:7340");
   CHECK(OwnInternalAddress(settings) == "10.1.0.19:7340");
 }
