Send, store and log what a declaration changes instead of its whole text

Cause, hypotheses 1 and 2: the text of a declaration stood as one string in the configuration document, so each change was a patch of the whole text. A lease reply carried it all and never fitted into its 800 ms over 10 Mbit/s; the entry turned to the next host and was sent it again. One log entry of that size went to five members, was parsed, merged, validated and hashed in the thread that drives the replica, beside heartbeats whose silence of 300 ms starts an election; 17 elections followed, and every host that the operator turned to proposed the whole text again, against a number that other changes moved on. Class: a change that costs the whole, in each place through which it passes.

A new command holds the delta between two texts (ranges of the former and new bytes, compressed), compared and set by the digest of the text, so other changes do not interfere. The text is kept apart from the document, which is small again. Nodes are sent the deltas since their text, in pieces of 64 KB, each piece a lease request of its own, and go on at another host where they were; the whole text, compressed, where no deltas lead to it. A resend of what is in force is recognized before it is read.

--- a/include/masticrill/common/hash.h
+++ b/include/masticrill/common/hash.h
@@ -10,6 +10,9 @@
 /// A fast 64-bit hash, equal on every host. Not for secrets.
 std::uint64_t Hash64(std::string_view data, std::uint64_t seed = 0);
 
+/// A fast 128-bit hash in lower-case hexadecimal, equal on every host. Not for secrets.
+std::string Hash128Hex(std::string_view data);
+
 /// CRC-32 of a byte string.
 std::uint32_t Crc32(std::string_view data);
 
--- a/include/masticrill/config/configuration.h
+++ b/include/masticrill/config/configuration.h
@@ -11,6 +11,7 @@
 
 #include "masticrill/common/clock.h"
 #include "masticrill/common/name.h"
+#include "masticrill/config/shared_text.h"
 
 namespace masticrill::config {
 
@@ -145,7 +146,10 @@
 struct Declaration {
   /// Given by its author; 0 means none yet. A later declaration has a higher revision.
   std::uint64_t revision = 0;
-  std::string text;
+  SharedText text;
+  /// The digest of the text where it is kept apart from the document; empty where it stands in the
+  /// document.
+  std::string digest;
 
   friend bool operator==(const Declaration&, const Declaration&) = default;
 };
--- a/include/masticrill/config/document.h
+++ b/include/masticrill/config/document.h
@@ -2,6 +2,7 @@
 #define MASTICRILL_CONFIG_DOCUMENT_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -51,9 +52,24 @@
 /// Returns the least patches between a document and the one that replaces it.
 Result<DocumentChange> ReplaceDocument(std::string_view document, std::string_view new_document);
 
+/// A document without the text of its declaration, of which it names the digest.
+struct SplitDocument {
+  std::string document;
+  /// Absent where the document held none.
+  std::optional<std::string> text;
+
+  friend bool operator==(const SplitDocument&, const SplitDocument&) = default;
+};
+
+/// Takes the text of the declaration out of a document.
+Result<SplitDocument> TakeDeclarationText(std::string_view document);
+
 /// The merge patch that sets a declaration with its whole text.
 std::string MakeDeclarationPatch(const Declaration& declaration);
 
+/// Puts the text of the declaration back.
+Result<std::string> PutDeclarationText(std::string_view document, const std::string& text);
+
 /// A small valid document with one of everything, for `masticrill dev` and for readers. Its keys
 /// are listed in its "keys" members under salt and hash; the secrets are "dev-guild-key",
 /// "dev-lux-key" and, for the operator, "dev-operator-key".
--- a/include/masticrill/control/operator_access.h
+++ b/include/masticrill/control/operator_access.h
@@ -43,7 +43,7 @@
 
   /// Puts a declaration in force if its revision is higher than the current one, and acknowledges
   /// it, or the higher one, when no node acts on an earlier one later than the deployment's bound
-  /// from then on.
+  /// from then on. Costs the hosts and nodes about what differs from the current text.
   virtual ChangeOutcome Declare(const config::Declaration& declaration,
                                 const std::string& author) = 0;
 };
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -8,6 +8,7 @@
 
 #include "masticrill/common/name.h"
 #include "masticrill/config/delta.h"
+#include "masticrill/config/text_delta.h"
 #include "masticrill/net/handshake_messages.h"
 #include "masticrill/routing/prompt_report.h"
 #include "masticrill/routing/rollout_evaluation.h"
@@ -118,6 +119,94 @@
   }
 };
 
+/// Node to control: a lease request of a node that holds the text of the declaration apart from the
+/// document and fetches its changes in pieces. A control host of an earlier program answers with an
+/// error.
+struct RenewRequest {
+  static constexpr MessageType kType = MessageType::kRenewRequest;
+  LeaseRequest lease;
+  /// The digest of the text that the node holds; empty where it holds none.
+  std::string text_digest;
+  /// The update of which the node has the first `received_bytes`; empty where it has none.
+  std::string update_id = {};
+  std::uint64_t received_bytes = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->lease, this->text_digest, this->update_id, this->received_bytes);
+  }
+};
+
+/// The changes of a text, one after the other. The first may begin from the empty text.
+struct TextChanges {
+  std::vector<config::TextDelta> changes;
+
+  friend bool operator==(const TextChanges&, const TextChanges&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->changes);
+  }
+};
+
+/// A piece of an encoded update of the text of the declaration.
+struct TextPiece {
+  /// Names the update: its bytes are the same at each host that gives it this id.
+  std::string update_id;
+  /// The size of the whole update.
+  std::uint64_t update_bytes = 0;
+  std::uint64_t offset = 0;
+  std::string bytes;
+
+  friend bool operator==(const TextPiece&, const TextPiece&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->update_id, this->update_bytes, this->offset, this->bytes);
+  }
+};
+
+struct RenewReply {
+  static constexpr MessageType kType = MessageType::kRenewReply;
+  LeaseReply lease;
+  /// The digest of the text that belongs to the number of the lease; empty where the text stands in
+  /// the document.
+  std::string text_digest = {};
+  /// Of the update from the node's text to that one; empty where the node has the text.
+  TextPiece piece = {};
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->lease, this->text_digest, this->piece);
+  }
+};
+
+/// Between control replicas: which additions to the replicated log does your program know? A
+/// program from before the first of them answers with an error.
+struct FeaturesRequest {
+  static constexpr MessageType kType = MessageType::kFeaturesRequest;
+  NodeId sender;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->sender);
+  }
+};
+
+/// The command that changes the text of the declaration.
+inline constexpr const char* kDeclarationChangesFeature = "declaration-changes";
+
+struct FeaturesReply {
+  static constexpr MessageType kType = MessageType::kFeaturesReply;
+  NodeId node;
+  std::vector<std::string> features;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->node, this->features);
+  }
+};
+
 /// How long requests have waited at an entry for first tokens that have not come, during a
 /// service's roll-out: at its target, and at all other versions.
 struct RolloutWaits {
--- a/include/masticrill/net/message_type.h
+++ b/include/masticrill/net/message_type.h
@@ -40,6 +40,10 @@
   kEntryReportReply,
   kEntryReportsRequest,
   kEntryReportsReply,
+  kRenewRequest,
+  kRenewReply,
+  kFeaturesRequest,
+  kFeaturesReply,
 };
 
 }  // namespace masticrill::net
--- a/include/masticrill/node/lease_client.h
+++ b/include/masticrill/node/lease_client.h
@@ -6,12 +6,13 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
 #include "masticrill/common/clock.h"
-#include "masticrill/config/delta.h"
 #include "masticrill/config/lease.h"
+#include "masticrill/node/configuration_receiver.h"
 #include "masticrill/node/control_link.h"
 
 namespace masticrill::node {
@@ -79,12 +80,20 @@
   void Stop();
 
  private:
+  /// What to do after a request.
+  enum class NextRequest { kAtInterval, kSoon, kAtOnce };
+
   void Run();
-  void Renew();
+  NextRequest Renew();
+  Result<net::RenewReply> Ask(const net::RenewRequest& request);
   std::uint32_t RankOfThisEntry(std::vector<std::string> addresses) const;
   void LogRefusal(const std::string& reason);
   void SendReport();
-  bool ApplyReply(const net::LeaseReply& reply, config::LeaseRequestId request);
+  NextRequest ApplyReply(const net::RenewReply& reply, config::LeaseRequestId request,
+                         TimePoint sent_at);
+  NextRequest TakeGrant(const net::LeaseReply& reply, config::LeaseRequestId request,
+                        const config::ConfigurationPtr& received);
+  void LogChange(const config::Configuration& configuration);
 
   std::shared_ptr<ControlLink> link;
   net::Identity self;
@@ -98,13 +107,18 @@
   mutable std::mutex mutex;
   std::condition_variable stopping;
   bool stopped = false;
-  bool was_granted = false;
   bool renew_soon = false;
   /// Used only by the client's thread.
-  TimePoint asked_at;
   net::EntryReportReply report_reply;
   config::LeaseHolder holder;
-  config::NumberedDocument document;
+  ConfigurationReceiver receiver;
+  /// When the first reply that belongs to a newer configuration came, and what was received before.
+  std::optional<TimePoint> change_begun_at;
+  TransferStats before_change;
+  /// The control host of an earlier program that was asked last, and until when it is taken for
+  /// one.
+  std::weak_ptr<net::RpcClient> older_host;
+  TimePoint older_host_until;
   /// Reason why the last request was not granted; empty when it was. Used only by the client's
   /// thread.
   std::string last_refusal;
--- a/include/masticrill/state/commands.h
+++ b/include/masticrill/state/commands.h
@@ -11,6 +11,7 @@
 #include "masticrill/common/name.h"
 #include "masticrill/common/request_class.h"
 #include "masticrill/config/configuration.h"
+#include "masticrill/config/text_delta.h"
 #include "masticrill/state/records.h"
 
 /// The commands of the replicated state. Each carries `at`, the wall time at which the leader
@@ -257,10 +258,28 @@
   }
 };
 
+/// Changes the text of the declaration if it is still the one that the change was made from, and
+/// its revision is lower. Other changes of the configuration do not interfere. From the first such
+/// command on, the text is kept apart from the document.
+struct ChangeDeclaration {
+  PatchId patch_id;
+  std::uint64_t revision = 0;
+  config::TextDelta change;
+  OperatorId author;
+  std::string reason;
+  WallTimeMs at = 0;
+
+  friend bool operator==(const ChangeDeclaration&, const ChangeDeclaration&) = default;
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(this->patch_id, this->revision, this->change, this->author, this->reason, this->at);
+  }
+};
+
 /// New kinds are appended, because the position in this list is the kind's number in the log.
-using Command =
-    std::variant<PatchConfiguration, RollbackConfiguration, OpenClaim, ReassignClaim, ResolveClaim,
-                 PinSession, RepinSession, Charge, RecordOutcomes, CloseIncarnation, Batch>;
+using Command = std::variant<PatchConfiguration, RollbackConfiguration, OpenClaim, ReassignClaim,
+                             ResolveClaim, PinSession, RepinSession, Charge, RecordOutcomes,
+                             CloseIncarnation, Batch, ChangeDeclaration>;
 
 }  // namespace masticrill::state
 
--- a/include/masticrill/state/replicated_state.h
+++ b/include/masticrill/state/replicated_state.h
@@ -67,7 +67,7 @@
   }
 };
 
-enum class ChangeKind : std::uint8_t { kPatch, kRollback };
+enum class ChangeKind : std::uint8_t { kPatch, kRollback, kDeclaration };
 
 /// One accepted change of the configuration.
 struct HistoryEntry {
@@ -109,6 +109,13 @@
   friend bool operator==(const LedgerTotals&, const LedgerTotals&) = default;
 };
 
+/// What a node lacks of the current configuration.
+struct ConfigurationUpdate {
+  config::ConfigurationDelta document;
+  /// Its digest is empty, and nothing is needed, where the text stands in the document.
+  config::TextUpdate text;
+};
+
 /// The number of records in each table.
 struct StateSizes {
   std::size_t claims = 0;
@@ -153,6 +160,14 @@
   /// Returns the patches, or the full document, that bring a node from the configuration `known`
   /// to the current one.
   config::ConfigurationDelta DeltaFrom(config::Number known) const;
+  /// Whether the text of the declaration is kept apart from the document, and changed by
+  /// ChangeDeclaration only.
+  bool KeepsTextApart() const;
+  /// The whole current document with the text of the declaration in it.
+  Result<config::ConfigurationDelta> WholeDelta() const;
+  /// What brings a node from the configuration `known`, and from the text of the declaration with
+  /// that digest, to the current ones.
+  ConfigurationUpdate UpdateFrom(config::Number known, const std::string& known_digest) const;
 
   /// Returns the state of a claim; kInProgress when the claim is open.
   std::optional<ClaimResult> FindClaim(const ClaimKey& key) const;
--- a/src/common/hash.cc
+++ b/src/common/hash.cc
@@ -23,6 +23,18 @@
   return XXH64(data.data(), data.size(), seed);
 }
 
+std::string Hash128Hex(std::string_view data) {
+  XXH128_canonical_t bytes;
+  XXH128_canonicalFromHash(&bytes, XXH3_128bits(data.data(), data.size()));
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const unsigned char byte : bytes.digest) {
+    text.push_back(kDigits[byte >> 4U]);
+    text.push_back(kDigits[byte & 0x0fU]);
+  }
+  return text;
+}
+
 std::uint32_t Crc32(std::string_view data) {
   Poco::Checksum checksum(Poco::Checksum::TYPE_CRC32);
   checksum.update(data.data(), static_cast<unsigned int>(data.size()));
--- a/src/config/document.cc
+++ b/src/config/document.cc
@@ -6,6 +6,7 @@
 
 #include "config/strict_json.h"
 #include "masticrill/config/permission.h"
+#include "masticrill/config/text_delta.h"
 
 namespace masticrill::config {
 namespace {
@@ -101,7 +102,10 @@
 }
 
 Json ToJson(const Declaration& declaration) {
-  return {{"revision", declaration.revision}, {"text", declaration.text}};
+  if (!declaration.digest.empty()) {
+    return {{"revision", declaration.revision}, {"digest", declaration.digest}};
+  }
+  return {{"revision", declaration.revision}, {"text", declaration.text.Value()}};
 }
 
 constexpr std::array<const char*, 3> kServiceRolloutStates = {"running", "completed",
@@ -205,12 +209,35 @@
   return Compare(from, to);
 }
 
+Result<SplitDocument> TakeDeclarationText(std::string_view document) {
+  BOOST_LEAF_AUTO(root, ParseStrict(document));
+  SplitDocument split;
+  if (const auto found = root.find("declaration"); found != root.end() && found->is_object()) {
+    if (const auto text = found->find("text"); text != found->end() && text->is_string()) {
+      split.text = text->get<std::string>();
+      found->erase(text);
+      (*found)["digest"] = TextDigest(*split.text);
+    }
+  }
+  BOOST_LEAF_ASSIGN(split.document, Write(root));
+  return split;
+}
+
 std::string MakeDeclarationPatch(const Declaration& declaration) {
   const Json patch = {
-      {"declaration", {{"revision", declaration.revision}, {"text", declaration.text}}}};
+      {"declaration", {{"revision", declaration.revision}, {"text", declaration.text.Value()}}}};
   return patch.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+Result<std::string> PutDeclarationText(std::string_view document, const std::string& text) {
+  BOOST_LEAF_AUTO(root, ParseStrict(document));
+  if (const auto found = root.find("declaration"); found != root.end() && found->is_object()) {
+    found->erase("digest");
+    (*found)["text"] = text;
+  }
+  return root.dump();
+}
+
 std::string ExampleDocument() {
   const auto key = [](std::string_view secret) { return ToJson(HashKey(kExampleSalt, secret)); };
   Json operator_key = key("dev-operator-key");
--- a/src/config/document_parser.cc
+++ b/src/config/document_parser.cc
@@ -211,9 +211,9 @@
 }
 
 Declaration ReadDeclaration(const JsonNode& node) {
-  node.Only({"revision", "text"});
+  node.Only({"revision", "text", "digest"});
   return {node.Integer("revision", 0, {0, std::numeric_limits<std::uint64_t>::max()}),
-          node.LongText("text")};
+          node.LongText("text"), node.Text("digest")};
 }
 
 ServiceRollout ReadServiceRollout(const JsonNode& node) {
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -109,8 +109,9 @@
   this->lists = std::make_unique<ListService>(this->options, *this->replica, this->addresses);
   this->leases =
       std::make_unique<LeaseService>(*this->replica, this->replicated, this->nodes, *this->lists);
-  this->access = std::make_unique<ReplicatedOperatorAccess>(
-      this->options, *this->replica, this->replicated, *this->proposer, this->revision_times);
+  this->access = std::make_unique<ReplicatedOperatorAccess>(this->options, *this->replica,
+                                                            this->replicated, *this->proposer,
+                                                            *this->fleet, this->revision_times);
   this->upkeep =
       std::make_unique<Upkeep>(this->options, *this->replica, this->replicated, *this->proposer,
                                *this->members, *this->fleet, this->addresses, *this->leases);
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -77,6 +77,19 @@
   return MergeReports(reports);
 }
 
+std::set<NodeId> FleetView::HostsWithFeature(const std::string& feature) {
+  std::set<NodeId> hosts;
+  this->AskAll(net::FeaturesRequest{this->addresses.Credentials().self.node},
+               [&](const net::FrameQueue::Next& next) {
+                 const auto reply = ReadMessage<net::FeaturesReply>(next);
+                 if (reply && std::find(reply->features.begin(), reply->features.end(), feature) !=
+                                  reply->features.end()) {
+                   hosts.insert(reply->node);
+                 }
+               });
+  return hosts;
+}
+
 EntryReports FleetView::CollectEntryReports() {
   EntryReports collected;
   std::vector<net::AgedEntryReport> reports;
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -2,6 +2,8 @@
 #define MASTICRILL_CONTROL_FLEET_VIEW_H_
 
 #include <atomic>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "control/address_book.h"
@@ -28,6 +30,8 @@
   std::vector<net::NodeReport> CollectReports();
   /// The same for the reports that entries have sent beside their lease requests.
   EntryReports CollectEntryReports();
+  /// The other control hosts whose programs know a feature, as far as they reply in time.
+  std::set<NodeId> HostsWithFeature(const std::string& feature);
   /// The nodes that request leases from this host.
   std::vector<net::NodeReport> OwnReports() { return this->nodes.Reports(this->clock.Now()); }
 
--- a/src/control/lease_service.cc
+++ b/src/control/lease_service.cc
@@ -60,10 +60,51 @@
   this->nodes.Record(request, this->clock.Now());
   LeaseDecision decision = LeaseDecision::kGranted;
   net::LeaseReply reply = this->Decide(request, decision);
+  if (decision == LeaseDecision::kGranted && request.known_number != reply.number) {
+    reply.delta = this->state.KeepsTextApart() ? this->WholeDelta()
+                                               : this->state.DeltaFrom(request.known_number);
+    // A change may have been applied since the number was read; the delta then includes it.
+    if (reply.delta) {
+      reply.number = reply.delta->to;
+    }
+  }
   this->decisions.Add(decision);
   return decision == LeaseDecision::kGranted ? reply : this->Refuse(decision);
 }
 
+net::RenewReply LeaseService::Renew(const net::RenewRequest& request) {
+  this->nodes.Record(request.lease, this->clock.Now());
+  LeaseDecision decision = LeaseDecision::kGranted;
+  net::RenewReply reply{this->Decide(request.lease, decision)};
+  this->decisions.Add(decision);
+  if (decision != LeaseDecision::kGranted) {
+    reply.lease = this->Refuse(decision);
+    return reply;
+  }
+  if (request.lease.known_number == reply.lease.number) {
+    reply.text_digest = request.text_digest;
+    return reply;
+  }
+  state::ConfigurationUpdate update =
+      this->state.UpdateFrom(request.lease.known_number, request.text_digest);
+  reply.lease.number = update.document.to;
+  reply.lease.delta = std::move(update.document);
+  reply.text_digest = update.text.digest;
+  if (!update.text.changes.empty() || update.text.whole) {
+    reply.piece = this->text_updates.NextPiece(request, update.text);
+  }
+  return reply;
+}
+
+std::optional<config::ConfigurationDelta> LeaseService::WholeDelta() const {
+  return HandleErrors(
+      [&]() -> Result<std::optional<config::ConfigurationDelta>> {
+        BOOST_LEAF_AUTO(delta, this->state.WholeDelta());
+        return std::optional(std::move(delta));
+      },
+      [](const Error&) { return std::optional<config::ConfigurationDelta>(); });
+}
+
 bool LeaseService::HasQuorumEvidence() const {
   return this->FreshGrant(this->state.Configuration()->number).has_value();
 }
@@ -143,11 +184,6 @@
     reply.load_addresses = this->fleet.load_addresses;
   }
   reply.list = this->lists.Read(request.known_list_version);
-  if (request.known_number != number) {
-    reply.delta = this->state.DeltaFrom(request.known_number);
-    // A change may have been applied since the number was read; the delta then includes it.
-    reply.number = reply.delta->to;
-  }
   return reply;
 }
 
--- a/src/control/lease_service.h
+++ b/src/control/lease_service.h
@@ -12,6 +12,7 @@
 #include "control/node_registry.h"
 #include "control/periodic_thread.h"
 #include "control/replica_runner.h"
+#include "control/text_update_cache.h"
 #include "masticrill/common/metrics.h"
 #include "masticrill/config/lease.h"
 #include "masticrill/net/messages.h"
@@ -52,7 +53,9 @@
   LeaseService(ReplicaRunner& replica, const state::ReplicatedState& state, NodeRegistry& nodes,
                const ListService& lists);
 
+  /// For nodes of earlier programs: a change of the declaration comes with its whole text.
   net::LeaseReply Handle(const net::LeaseRequest& request);
+  net::RenewReply Renew(const net::RenewRequest& request);
   /// Whether the evidence is recent enough to grant a lease, also when nothing is configured yet.
   bool HasQuorumEvidence() const;
 
@@ -82,6 +85,7 @@
   std::optional<config::LeaseGrant> FreshGrant(config::Number number) const;
   net::LeaseReply Refuse(LeaseDecision decision) const;
   net::LeaseReply Decide(const net::LeaseRequest& request, LeaseDecision& decision) const;
+  std::optional<config::ConfigurationDelta> WholeDelta() const;
 
   ReplicaRunner& replica;
   const state::ReplicatedState& state;
@@ -93,6 +97,7 @@
   mutable std::mutex fleet_mutex;
   FleetInfo fleet;
   net::EntryReportReply report_reply;
+  TextUpdateCache text_updates;
   std::shared_ptr<Evidence> evidence = std::make_shared<Evidence>();
   PeriodicThread evidence_thread;
 };
--- a/src/control/operator_access.cc
+++ b/src/control/operator_access.cc
@@ -1,5 +1,6 @@
 #include "control/operator_access.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -139,20 +140,66 @@
 
 ChangeOutcome ReplicatedOperatorAccess::Declare(const config::Declaration& declaration,
                                                 const std::string& author) {
-  ChangeOutcome outcome = this->Change(
-      [&](const config::Configuration& current) {
-        if (current.declaration.revision >= declaration.revision) {
-          return PlannedChange{};
-        }
-        return PlannedChange{config::MakeDeclarationPatch(declaration), std::nullopt};
-      },
-      author, "revision " + std::to_string(declaration.revision));
+  const std::string reason = "revision " + std::to_string(declaration.revision);
+  ChangeOutcome outcome = this->CommitDeclaration(declaration, author, reason);
   if (outcome.acknowledged) {
     this->AwaitEarlierLeases(declaration.revision);
   }
   return outcome;
 }
 
+ChangeOutcome ReplicatedOperatorAccess::CommitDeclaration(const config::Declaration& declaration,
+                                                          const std::string& author,
+                                                          const std::string& reason) {
+  for (int attempt = 0; attempt < kMaxCommitAttempts; ++attempt) {
+    const config::ConfigurationPtr current = this->ReadCurrent();
+    if (current == nullptr) {
+      return {false, ToError(CommitStatus::kNoQuorum)};
+    }
+    if (current->declaration.revision >= declaration.revision) {
+      return {true, {}};
+    }
+    const state::PatchId patch_id(SecureRandomHex(kPatchIdBytes));
+    CommitEnd ended;
+    if (this->state.KeepsTextApart() || this->AllMembersKnowDeclarationChanges()) {
+      ended = this->Commit(
+          state::ChangeDeclaration{.patch_id = patch_id,
+                                   .revision = declaration.revision,
+                                   .change = config::MakeTextDelta(
+                                       current->declaration.text.Value(), declaration.text.Value(),
+                                       config::DeltaEncoding::kCompressed),
+                                   .author = OperatorId(author),
+                                   .reason = reason,
+                                   .at = this->clock.WallNow()},
+          author, reason);
+    } else {
+      ended = this->Commit(
+          state::PatchConfiguration{.patch_id = patch_id,
+                                    .expected_number = current->number,
+                                    .merge_patch = config::MakeDeclarationPatch(declaration),
+                                    .author = OperatorId(author),
+                                    .reason = reason,
+                                    .at = this->clock.WallNow()},
+          author, reason);
+    }
+    if (ended) {
+      return *std::move(ended);
+    }
+  }
+  return OvertakenEachTime();
+}
+
+/// A program that does not know the command would apply another state than the others.
+bool ReplicatedOperatorAccess::AllMembersKnowDeclarationChanges() {
+  const consensus::ReplicaStatus status = this->replica.Status().replica;
+  const std::set<NodeId> hosts = this->fleet.HostsWithFeature(net::kDeclarationChangesFeature);
+  const auto knows = [&](const consensus::ReplicaId& member) {
+    return member.node == status.id.node || hosts.contains(member.node);
+  };
+  return std::all_of(status.membership.voters.begin(), status.membership.voters.end(), knows) &&
+         std::all_of(status.membership.learners.begin(), status.membership.learners.end(), knows);
+}
+
 /// A lease from before the revision was committed ends at most a lease's length later. Waits until
 /// what is left of it is within the bound.
 void ReplicatedOperatorAccess::AwaitEarlierLeases(std::uint64_t revision) const {
--- a/src/control/operator_access.h
+++ b/src/control/operator_access.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "control/fleet_view.h"
 #include "control/proposer.h"
 #include "control/replica_runner.h"
 #include "control/revision_times.h"
@@ -24,11 +25,12 @@
   /// The arguments must outlive this object.
   ReplicatedOperatorAccess(const ControlOptions& options, ReplicaRunner& replica,
                            const state::ReplicatedState& state, Proposer& proposer,
-                           const RevisionTimes& revision_times)
+                           FleetView& fleet, const RevisionTimes& revision_times)
       : options(options),
         replica(replica),
         state(state),
         proposer(proposer),
+        fleet(fleet),
         revision_times(revision_times) {}
 
   config::ConfigurationPtr ReadCurrent() override;
@@ -42,12 +44,16 @@
 
   CommitEnd Commit(const state::Command& command, const std::string& author,
                    const std::string& reason);
+  ChangeOutcome CommitDeclaration(const config::Declaration& declaration, const std::string& author,
+                                  const std::string& reason);
+  bool AllMembersKnowDeclarationChanges();
   void AwaitEarlierLeases(std::uint64_t revision) const;
 
   const ControlOptions& options;
   ReplicaRunner& replica;
   const state::ReplicatedState& state;
   Proposer& proposer;
+  FleetView& fleet;
   const RevisionTimes& revision_times;
   SystemClock clock;
 };
--- a/src/control/operator_json.cc
+++ b/src/control/operator_json.cc
@@ -148,11 +148,23 @@
                {"nodes", std::move(nodes)}});
 }
 
+const char* KindName(state::ChangeKind kind) {
+  switch (kind) {
+    case state::ChangeKind::kRollback:
+      return "rollback";
+    case state::ChangeKind::kDeclaration:
+      return "declaration";
+    case state::ChangeKind::kPatch:
+      break;
+  }
+  return "patch";
+}
+
 std::string HistoryJson(const std::vector<state::HistoryEntry>& history) {
   Json entries = Json::array();
   for (const state::HistoryEntry& entry : history) {
     entries.push_back({{"number", entry.number},
-                       {"kind", entry.kind == state::ChangeKind::kPatch ? "patch" : "rollback"},
+                       {"kind", KindName(entry.kind)},
                        {"patch_id", entry.patch_id.Value()},
                        {"author", entry.author.Value()},
                        {"reason", entry.reason},
--- a/src/control/rpc_service.cc
+++ b/src/control/rpc_service.cc
@@ -47,6 +47,11 @@
       channel->Send(frame.correlation, this->parts.leases.Handle(request));
       return {};
     }
+    case net::MessageType::kRenewRequest: {
+      BOOST_LEAF_AUTO(request, net::DecodePayload<net::RenewRequest>(frame.payload));
+      channel->Send(frame.correlation, this->parts.leases.Renew(request));
+      return {};
+    }
     case net::MessageType::kEntryReport: {
       BOOST_LEAF_AUTO(report, net::DecodePayload<net::EntryReport>(frame.payload));
       channel->Send(frame.correlation, this->parts.leases.HandleReport(report));
@@ -60,6 +65,7 @@
     case net::MessageType::kMemberRequest:
     case net::MessageType::kSharedListRequest:
     case net::MessageType::kEntryReportsRequest:
+    case net::MessageType::kFeaturesRequest:
       if (channel->Peer().role == net::NodeRole::kControl) {
         return this->AnswerReplica(channel, frame);
       }
@@ -91,6 +97,12 @@
                   net::EntryReportsReply{this->parts.nodes.EntryReports(SystemClock().Now())});
     return {};
   }
+  if (frame.type == net::MessageType::kFeaturesRequest) {
+    channel->Send(frame.correlation,
+                  net::FeaturesReply{this->parts.addresses.Credentials().self.node,
+                                     {net::kDeclarationChangesFeature}});
+    return {};
+  }
   if (frame.type == net::MessageType::kSharedListRequest) {
     BOOST_LEAF_AUTO(asked, net::DecodePayload<net::SharedListRequest>(frame.payload));
     channel->Send(frame.correlation,
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -276,7 +276,7 @@
       {{"number", configuration->number},
        {"revision", table->revision},
        {"routes", table->routes.size()},
-       {"bytes", declaration.text.size()},
+       {"bytes", declaration.text.Value().size()},
        {"apply_ms", this->last_apply_ms.load()},
        {"former_lease_left_ms",
         current == nullptr ? 0 : duration_cast<milliseconds>(current->valid_until - now).count()}});
@@ -293,7 +293,7 @@
   }
   return HandleErrors(
       [&]() -> Result<RouteTablePtr> {
-        BOOST_LEAF_AUTO(decoded, this->protocol.read_declaration(declaration.text));
+        BOOST_LEAF_AUTO(decoded, this->protocol.read_declaration(declaration.text.Value()));
         return std::make_shared<const RouteTable>(std::move(decoded));
       },
       [&](const Error& error) {
--- a/src/node/lease_client.cc
+++ b/src/node/lease_client.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "masticrill/common/log.h"
-#include "masticrill/config/document.h"
 
 namespace masticrill::node {
 namespace {
@@ -12,17 +11,11 @@
 constexpr milliseconds kCallTimeout{800};
 /// Interval after a refusal or a failure; shorter than the renewal interval.
 constexpr milliseconds kRetryInterval{100};
+/// How long a control host that does not know RenewRequest is asked by LeaseRequest.
+constexpr Duration kOlderHostTime = seconds(60);
 /// Least time between two requests.
 constexpr milliseconds kMinInterval{100};
 
-std::size_t SizeOf(const config::ConfigurationDelta& delta) {
-  std::size_t bytes = delta.full_document.size();
-  for (const std::string& patch : delta.patches) {
-    bytes += patch.size();
-  }
-  return bytes;
-}
-
 }  // namespace
 
 LeaseClient::LeaseClient(std::shared_ptr<ControlLink> link, net::Identity self, std::string address,
@@ -82,10 +75,13 @@
   while (!this->stopped) {
     this->renew_soon = false;
     lock.unlock();
-    this->Renew();
+    const NextRequest next = this->Renew();
     lock.lock();
+    if (next == NextRequest::kAtOnce) {
+      continue;
+    }
     const Duration pause =
-        this->was_granted ? this->options.renew_interval : Duration(kRetryInterval);
+        next == NextRequest::kAtInterval ? this->options.renew_interval : Duration(kRetryInterval);
     const Duration least = std::min(pause, Duration(kMinInterval));
     this->stopping.wait_for(lock, least, [this] { return this->stopped; });
     this->stopping.wait_for(lock, pause - least,
@@ -93,37 +89,66 @@
   }
 }
 
-void LeaseClient::Renew() {
-  net::LeaseRequest request{this->self.node,
-                            this->self.role,
-                            this->self.incarnation,
-                            0,
-                            this->address,
-                            this->started_at_ms,
-                            {}};
-  request.load_address = this->options.load_address;
-  request.known_list_version = this->list_version;
+LeaseClient::NextRequest LeaseClient::Renew() {
+  net::RenewRequest request;
+  request.lease = {this->self.node,
+                   this->self.role,
+                   this->self.incarnation,
+                   0,
+                   this->address,
+                   this->started_at_ms,
+                   {}};
+  request.lease.load_address = this->options.load_address;
+  request.lease.known_list_version = this->list_version;
   if (this->options.report_rollouts) {
-    request.rollouts = this->options.report_rollouts();
+    request.lease.rollouts = this->options.report_rollouts();
   }
+  this->receiver.Describe(request);
+  const TimePoint sent_at = this->clock.Now();
   config::LeaseRequestId request_id = 0;
   {
     const std::lock_guard lock(this->mutex);
-    request.known_number = this->document.number;
-    this->asked_at = this->clock.Now();
-    request_id = this->holder.OnRequestSent(this->asked_at);
-  }
-  const bool granted = HandleErrors(
-      [&]() -> Result<bool> {
-        BOOST_LEAF_AUTO(reply, this->link->Call<net::LeaseReply>(request, kCallTimeout));
-        return this->ApplyReply(reply, request_id);
+    request_id = this->holder.OnRequestSent(sent_at);
+  }
+  return HandleErrors(
+      [&]() -> Result<NextRequest> {
+        BOOST_LEAF_AUTO(reply, this->Ask(request));
+        return this->ApplyReply(reply, request_id, sent_at);
       },
       [&](const Error& error) {
         this->LogRefusal(error.message);
-        return false;
+        return NextRequest::kSoon;
       });
-  const std::lock_guard lock(this->mutex);
-  this->was_granted = granted;
+}
+
+/// Asks the current control host, and a host of an earlier program in the way that it knows.
+Result<net::RenewReply> LeaseClient::Ask(const net::RenewRequest& request) {
+  const std::shared_ptr<net::RpcClient> host = this->link->Current();
+  if (this->older_host.lock() != host || this->clock.Now() >= this->older_host_until) {
+    std::optional<Error> failure;
+    std::optional<net::RenewReply> reply = HandleErrors(
+        [&]() -> Result<std::optional<net::RenewReply>> {
+          BOOST_LEAF_AUTO(renewed, host->Call<net::RenewReply>(request, kCallTimeout));
+          return std::optional(std::move(renewed));
+        },
+        [&](const Error& error) {
+          failure = error;
+          return std::optional<net::RenewReply>();
+        });
+    if (reply) {
+      return *std::move(reply);
+    }
+    if (failure->kind != ErrorKind::kMalformedMessage) {
+      this->link->FailOver(host);
+      return Fail(*failure);
+    }
+    this->older_host = host;
+    this->older_host_until = this->clock.Now() + kOlderHostTime;
+  }
+  BOOST_LEAF_AUTO(lease, this->link->Call<net::LeaseReply>(request.lease, kCallTimeout));
+  net::RenewReply reply{std::move(lease)};
+  reply.text_digest = reply.lease.delta ? std::string() : request.text_digest;
+  return reply;
 }
 
 /// Logs the reason of a refusal when it differs from the last one, so that retries are not logged.
@@ -163,11 +188,14 @@
   this->report_reply = std::move(reply);
 }
 
-bool LeaseClient::ApplyReply(const net::LeaseReply& reply, config::LeaseRequestId request) {
+LeaseClient::NextRequest LeaseClient::ApplyReply(const net::RenewReply& renewed,
+                                                 config::LeaseRequestId request,
+                                                 TimePoint sent_at) {
+  const net::LeaseReply& reply = renewed.lease;
   if (!reply.granted) {
     this->LogRefusal(reply.message);
     this->link->FailOver(this->link->Current());
-    return false;
+    return NextRequest::kSoon;
   }
   if (!this->last_refusal.empty()) {
     kLog.Info("Leases are granted again.", {{"number", reply.number}});
@@ -182,27 +210,29 @@
     this->list_version = reply.list.version;
     this->options.on_list(reply.list.bytes, milliseconds(reply.list.age_ms));
   }
-  config::ConfigurationPtr received;
-  if (reply.delta) {
-    const bool applied = HandleErrors(
-        [&]() -> Result<bool> {
-          BOOST_LEAF_AUTO(next, config::ApplyDelta(this->document, *reply.delta));
-          BOOST_LEAF_AUTO(parsed, config::ParseDocument(next.document, next.number));
-          this->document = next;
-          received = std::make_shared<const config::Configuration>(std::move(parsed));
-          return true;
-        },
-        [&](const Error& error) {
-          kLog.Warning("The received configuration was rejected; requesting the whole document.",
-                       {{"reason", error.message}});
-          // The next request fetches the whole document.
-          this->document = {};
-          return false;
-        });
-    if (!applied) {
-      return false;
-    }
+  if (reply.delta && !this->change_begun_at) {
+    this->change_begun_at = sent_at;
+    this->before_change = this->receiver.Stats();
   }
+  return HandleErrors(
+      [&]() -> Result<NextRequest> {
+        BOOST_LEAF_AUTO(received, this->receiver.Take(renewed));
+        if (!received.complete) {
+          return NextRequest::kAtOnce;
+        }
+        return this->TakeGrant(reply, request, received.configuration);
+      },
+      [&](const Error& error) {
+        kLog.Warning("The received configuration was rejected; requesting the whole document.",
+                     {{"reason", error.message}});
+        return NextRequest::kSoon;
+      });
+}
+
+/// Puts the configuration of a grant in force, and takes the lease that covers it after that.
+LeaseClient::NextRequest LeaseClient::TakeGrant(const net::LeaseReply& reply,
+                                                config::LeaseRequestId request,
+                                                const config::ConfigurationPtr& received) {
   config::JudgedGrant judged;
   {
     const std::lock_guard lock(this->mutex);
@@ -210,28 +240,36 @@
     judged = this->holder.Judge(request, grant, received);
   }
   if (judged.verdict != config::GrantVerdict::kTaken) {
-    return false;
+    return NextRequest::kSoon;
   }
   const LeaseUpdate update{judged.lease.valid_until, std::max<std::uint32_t>(reply.entry_count, 1),
                            this->RankOfThisEntry(reply.load_addresses), reply.load_addresses,
                            this->report_reply};
   if (!this->on_lease(judged.lease.configuration, update)) {
-    return false;
+    return NextRequest::kSoon;
   }
   {
     const std::lock_guard lock(this->mutex);
     this->holder.Take(judged.lease);
   }
   if (received != nullptr) {
-    kLog.Info(
-        "Configuration in force.",
-        {{"number", received->number},
-         {"revision", received->declaration.revision},
-         {"received_bytes", SizeOf(*reply.delta)},
-         {"took_ms", duration_cast<milliseconds>(this->clock.Now() - this->asked_at).count()}});
+    this->LogChange(*received);
   }
   this->SendReport();
-  return true;
+  return NextRequest::kAtInterval;
+}
+
+void LeaseClient::LogChange(const config::Configuration& configuration) {
+  const TransferStats& stats = this->receiver.Stats();
+  const Duration took = this->clock.Now() - this->change_begun_at.value_or(this->clock.Now());
+  kLog.Info("Configuration in force.",
+            {{"number", configuration.number},
+             {"revision", configuration.declaration.revision},
+             {"received_bytes", stats.received_bytes - this->before_change.received_bytes},
+             {"replies", stats.replies - this->before_change.replies},
+             {"restarts", stats.restarts - this->before_change.restarts},
+             {"took_ms", duration_cast<milliseconds>(took).count()}});
+  this->change_begun_at.reset();
 }
 
 }  // namespace masticrill::node
--- a/src/state/configuration_store.h
+++ b/src/state/configuration_store.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,7 @@
 
   PatchResult Apply(const PatchConfiguration& command, const Limits& limits, WallTimeMs now);
   PatchResult Apply(const RollbackConfiguration& command, const Limits& limits, WallTimeMs now);
+  PatchResult Apply(const ChangeDeclaration& command, const Limits& limits, WallTimeMs now);
   void Expire(WallTimeMs now) { this->accepted.Expire(now); }
 
   const config::ConfigurationPtr& Current() const { return this->configuration; }
@@ -34,6 +36,10 @@
   std::size_t HistorySize() const { return this->history.size(); }
   std::size_t ResultCount() const { return this->accepted.Size() + this->refused.size(); }
   config::ConfigurationDelta DeltaFrom(config::Number known) const;
+  /// Whether the text of the declaration is kept apart from the document.
+  bool KeepsTextApart() const { return this->text_apart; }
+  /// What leads from the text with that digest to the current one.
+  config::TextUpdate TextUpdateFrom(const std::string& known_digest) const;
 
   /// Parses the document after it was loaded from a snapshot.
   Result<void> Reload();
@@ -45,6 +51,24 @@
     archive(std::vector<PatchId>(this->refused_order.begin(), this->refused_order.end()));
   }
 
+  /// The text that is kept apart, and its changes. In an archive of their own, so that a snapshot
+  /// without them has the earlier format.
+  template <typename Archive>
+  void SaveText(Archive& archive) const {
+    archive(this->configuration->declaration.text.Value());
+    archive(std::vector<TextChange>(this->text_history.begin(), this->text_history.end()));
+  }
+
+  template <typename Archive>
+  void LoadText(Archive& archive) {
+    std::string text;
+    std::vector<TextChange> changes;
+    archive(text, changes);
+    this->text_apart = true;
+    this->loaded_text = std::move(text);
+    this->text_history.assign(changes.begin(), changes.end());
+  }
+
   template <typename Archive>
   void load(Archive& archive) {
     std::vector<HistoryEntry> entries;
@@ -67,6 +91,27 @@
     }
   };
 
+  /// The deltas of a change of the text that is kept apart, there and back.
+  struct TextChange {
+    config::Number number = 0;
+    config::TextDelta forward;
+    config::TextDelta reverse;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(this->number, this->forward, this->reverse);
+    }
+  };
+
+  /// What a proposal makes of the configuration.
+  struct Change {
+    config::DocumentChange document;
+    /// The new text where it is kept apart and differs.
+    std::optional<std::string> text = std::nullopt;
+    /// The delta from the current text to that one, if it is known.
+    std::optional<config::TextDelta> text_delta = std::nullopt;
+  };
+
   /// A requested change of the configuration.
   struct Proposal {
     ChangeKind kind = ChangeKind::kPatch;
@@ -86,13 +131,24 @@
   const PatchRecord* FindResult(const PatchId& id) const;
   void StoreResult(const Proposal& proposal, const PatchResult& result, const Limits& limits,
                    WallTimeMs now);
-  Result<void> Install(const Proposal& proposal, const Limits& limits,
-                       config::DocumentChange change);
+  Result<void> Install(const Proposal& proposal, const Limits& limits, Change change);
+  Result<Change> TakeTextApart(config::DocumentChange change) const;
+  Result<Change> ChangeText(const ChangeDeclaration& command) const;
+  Result<void> BeginKeepingTextApart();
+  Result<config::Configuration> Parse(const std::string& text, config::Number number,
+                                      const config::SharedText& declared) const;
+  void RecordTextChange(config::Number number, const std::string& text,
+                        std::optional<config::TextDelta> delta);
   void TrimHistory(const Limits& limits);
   Result<std::string> DocumentAt(config::Number number) const;
+  Result<std::string> TextAt(config::Number number) const;
 
   config::NumberedDocument document;
   config::ConfigurationPtr configuration;
+  bool text_apart = false;
+  /// Between LoadText and Reload.
+  std::string loaded_text;
+  std::deque<TextChange> text_history;
   std::deque<HistoryEntry> history;
   std::uint64_t history_bytes = 0;
   ExpiringTable<PatchId, PatchRecord> accepted;
--- a/src/state/replicated_state.cc
+++ b/src/state/replicated_state.cc
@@ -4,7 +4,9 @@
 #include <cstdlib>
 #include <utility>
 
+#include "masticrill/common/hash.h"
 #include "masticrill/common/log.h"
+#include "masticrill/config/document.h"
 #include "masticrill/state/codec.h"
 #include "state/archive.h"
 #include "state/claim_table.h"
@@ -19,6 +21,9 @@
 
 constexpr Logger kLogger(LogPart::kState);
 constexpr std::uint32_t kSnapshotVersion = 2;
+/// With the text of the declaration kept apart; written only then, since earlier programs read only
+/// the other one.
+constexpr std::uint32_t kSnapshotVersionWithText = 3;
 /// The end of the year 9999. Later times can only come from a defect.
 constexpr WallTimeMs kMaxWallTimeMs = 253'402'300'799'000;
 
@@ -55,8 +60,9 @@
   WallTimeMs AdvanceTime(WallTimeMs at);
 
   template <typename Kind>
-  requires std::same_as<Kind, PatchConfiguration> || std::same_as<Kind, RollbackConfiguration>
-      CommandResult Run(const Kind& command) {
+  requires std::same_as<Kind, PatchConfiguration> || std::same_as<Kind, RollbackConfiguration> ||
+      std::same_as<Kind, ChangeDeclaration>
+          CommandResult Run(const Kind& command) {
     const WallTimeMs now = this->AdvanceTime(command.at);
     return this->configuration.Write([&](ConfigurationStore& store) {
       store.Expire(now);
@@ -182,12 +188,17 @@
   std::string bytes;
   ByteWriter writer(bytes);
   const auto write = [&](const auto& shard) { writer(shard); };
-  writer(kSnapshotVersion, this->shards->limits);
+  const bool text_apart = this->KeepsTextApart();
+  writer(text_apart ? kSnapshotVersionWithText : kSnapshotVersion, this->shards->limits);
   this->shards->progress.Read(write);
   this->shards->configuration.Read(write);
   this->shards->claims.Read(write);
   this->shards->pins.Read(write);
   this->shards->ledger.Read(write);
+  if (text_apart) {
+    this->shards->configuration.Read(
+        [&](const ConfigurationStore& store) { store.SaveText(writer); });
+  }
   return bytes;
 }
 
@@ -202,7 +213,7 @@
     std::uint32_t version = 0;
     Limits limits;
     reader(version);
-    if (version != kSnapshotVersion) {
+    if (version != kSnapshotVersion && version != kSnapshotVersionWithText) {
       return Fail(ErrorKind::kCorruptStorage,
                   "The snapshot has format " + std::to_string(version) +
                       ". Start the version of the program that wrote it.");
@@ -213,6 +224,9 @@
                   "The snapshot was made under other limits. Set equal limits on all replicas.");
     }
     reader(progress, configuration, claims, pins, ledger);
+    if (version == kSnapshotVersionWithText) {
+      configuration.LoadText(reader);
+    }
     reader.ExpectEnd();
   } catch (const cereal::Exception& exception) {
     return Fail(ErrorKind::kCorruptStorage, std::string("The snapshot cannot be read: ") +
@@ -263,6 +277,31 @@
       [known](const ConfigurationStore& store) { return store.DeltaFrom(known); });
 }
 
+bool ReplicatedState::KeepsTextApart() const {
+  return this->shards->configuration.Read(
+      [](const ConfigurationStore& store) { return store.KeepsTextApart(); });
+}
+
+Result<config::ConfigurationDelta> ReplicatedState::WholeDelta() const {
+  const auto [document, text] =
+      this->shards->configuration.Read([](const ConfigurationStore& store) {
+        return std::pair(store.Document(), store.Current()->declaration.text);
+      });
+  config::ConfigurationDelta delta;
+  delta.to = document.number;
+  BOOST_LEAF_ASSIGN(delta.full_document,
+                    config::PutDeclarationText(document.document, text.Value()));
+  delta.digest = Sha256Hex(delta.full_document);
+  return delta;
+}
+
+ConfigurationUpdate ReplicatedState::UpdateFrom(config::Number known,
+                                                const std::string& known_digest) const {
+  return this->shards->configuration.Read([&](const ConfigurationStore& store) {
+    return ConfigurationUpdate{store.DeltaFrom(known), store.TextUpdateFrom(known_digest)};
+  });
+}
+
 std::optional<ClaimResult> ReplicatedState::FindClaim(const ClaimKey& key) const {
   return this->shards->claims.Read([&](const ClaimTable& table) { return table.Find(key); });
 }
