--- a/include/masticrill/gateway/route_table.h
+++ b/include/masticrill/gateway/route_table.h
@@ -1,12 +1,15 @@
 #ifndef MASTICRILL_GATEWAY_ROUTE_TABLE_H_
 #define MASTICRILL_GATEWAY_ROUTE_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "masticrill/common/clock.h"
@@ -116,6 +119,16 @@
   friend bool operator==(const KeyOwner&, const KeyOwner&) = default;
 };
 
+/// Hashes strings and views of strings alike.
+struct TextHash {
+  using is_transparent = void;  // NOLINT(readability-identifier-naming): named by the library.
+  std::size_t operator()(std::string_view text) const {
+    return std::hash<std::string_view>{}(text);
+  }
+};
+
+using RoutesByPrefix = std::unordered_map<std::string, RouteId, TextHash, std::equal_to<>>;
+
 /// The operators' declaration, indexed for look-ups. Not changed once it is in use.
 struct RouteTable {
   std::uint64_t revision = 0;
@@ -125,11 +138,11 @@
   /// Whether callers need a key on routes that are not public.
   bool requires_keys = false;
   std::map<std::string, KeyOwner, std::less<>> key_owners;
-  /// The routes of each host, longest prefix first. Filled by IndexRoutes.
-  std::map<std::string, std::vector<RouteId>, std::less<>> routes_by_host;
+  /// The routes of each host by their prefixes. Filled by IndexRoutes.
+  std::map<std::string, RoutesByPrefix, std::less<>> routes_by_host;
 
   /// The route of the host with the longest prefix of the path; null when there is none. `host` may
-  /// include a port.
+  /// include a port. Takes a look-up for each slash of the path, whatever the number of routes.
   const Route* FindRoute(std::string_view host, std::string_view path) const;
   /// Null when the key is unknown.
   const KeyOwner* FindKey(std::string_view key) const;
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -30,10 +30,13 @@
   if (found == this->routes_by_host.end()) {
     return nullptr;
   }
-  for (const RouteId& id : found->second) {
-    if (const Route& route = this->routes.at(id); path.starts_with(route.path_prefix)) {
-      return &route;
+  // Prefixes end with a slash.
+  const RoutesByPrefix& prefixes = found->second;
+  for (std::size_t end = path.rfind('/'); end != std::string_view::npos;) {
+    if (const auto route = prefixes.find(path.substr(0, end + 1)); route != prefixes.end()) {
+      return &this->routes.at(route->second);
     }
+    end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
   }
   return nullptr;
 }
@@ -51,12 +54,7 @@
 void IndexRoutes(RouteTable& table) {
   table.routes_by_host.clear();
   for (const auto& [id, route] : table.routes) {
-    table.routes_by_host[NormalizedHost(route.host)].push_back(id);
-  }
-  for (auto& [host, ids] : table.routes_by_host) {
-    std::stable_sort(ids.begin(), ids.end(), [&](const RouteId& left, const RouteId& right) {
-      return table.routes.at(left).path_prefix.size() > table.routes.at(right).path_prefix.size();
-    });
+    table.routes_by_host[NormalizedHost(route.host)].emplace(route.path_prefix, id);
   }
 }
 
--- a/test/gateway/route_table_test.cc
+++ b/test/gateway/route_table_test.cc
@@ -30,6 +30,25 @@
   CHECK(table.FindRoute("c.example", "/") == nullptr);
 }
 
+// Guards against look-ups that read through all routes of a host.
+TEST_CASE("a route is found among many of one host, by its own prefix and no other's") {
+  constexpr int kRoutes = 10'000;
+  std::vector<std::pair<std::string, std::string>> places;
+  for (int index = 0; index < kRoutes; ++index) {
+    places.emplace_back("a.example", "/p" + std::to_string(index) + "/");
+  }
+  const RouteTable table = TableOf(places);
+  for (int index = 0; index < kRoutes; ++index) {
+    const std::string prefix = "/p" + std::to_string(index);
+    const Route* const route = table.FindRoute("a.example", prefix + "/x/y");
+    REQUIRE(route != nullptr);
+    CHECK(route->path_prefix == prefix + "/");
+    CHECK(table.FindRoute("a.example", prefix) == nullptr);
+  }
+  CHECK(table.FindRoute("a.example", "") == nullptr);
+  CHECK(table.FindRoute("a.example", "p1/") == nullptr);
+}
+
 TEST_CASE("a host matches regardless of letter case and port") {
   const RouteTable table = TableOf({{"A.example", "/"}});
   CHECK(table.FindRoute("a.EXAMPLE:8080", "/") != nullptr);
--- a/test/platform/declaration_test.cc
+++ b/test/platform/declaration_test.cc
@@ -122,5 +122,19 @@
   CHECK(FaultOf(Good().dump()).empty());
 }
 
+TEST_CASE("what cannot be read as JSON is refused whole") {
+  const std::string good = Good().dump();
+  const std::string deep(100'000, '[');
+  const std::vector<std::string> cases = {good + "x",
+                                          good.substr(0, good.size() - 1),
+                                          "{\"Version\":1e999,\"Routes\":[]}",
+                                          "{\"Version\":1,\"Routes\":[],\"Other\":\"\xff\"}",
+                                          "{\"Version\":1,\"Routes\":[],\"Other\":" + deep,
+                                          std::string("\0", 1)};
+  for (const std::string& bad : cases) {
+    CHECK(FaultOf(bad).find("JSON") != std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace masticrill::platform
