--- a/test/platform/instance_list_test.cc
+++ b/test/platform/instance_list_test.cc
@@ -40,6 +40,60 @@
   CHECK(Parse(Json::array({leaving})).upstreams.at(0).leaving);
 }
 
+// Guards against one odd entry that ends the processes which read the list, or stops them from
+// following it.
+TEST_CASE("an entry that cannot be read or used is left out alone") {
+  const std::string good = GoodEntry().dump();
+  const auto with = [&](const std::string& member, const std::string& value) {
+    const std::size_t begin = good.find("\"" + member + "\":") + member.size() + 3;
+    return good.substr(0, begin) + value + good.substr(good.find_first_of(",}", begin));
+  };
+  const std::string deep(200'000, '[');
+  const std::string closed(200'000, ']');
+  std::vector<std::string> odd = {deep + closed,
+                                  "{\"Id\":" + deep + closed + "}",
+                                  "{\"Id\":\"\xff\xfe\"}",
+                                  "{\"Id\":\"a\nb\"}",
+                                  "{\"Id\":}",
+                                  "nul"};
+  for (const char* member : {"Slots", "ColdRemainingMs", "born"}) {
+    for (const char* value :
+         {"1e999", "1e300", "18446744073709551616", "99999999999999999999999", "-1", "1e19"}) {
+      odd.push_back(with(member, value));
+    }
+  }
+  odd.push_back(with("Slots", "4294967296"));
+  for (const char* address :
+       {"10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1",
+        "10.0.0.1:", ":8080", "10.0.0.999:8080", "name:8080", "10.0.0.1:8080x", "10.0.0.1: 80"}) {
+    odd.push_back(with("Address", "\"" + std::string(address) + "\""));
+  }
+  for (const std::string& entry : odd) {
+    CAPTURE(entry.substr(0, 80));
+    const std::string page = "{\"Other\":[{}],\"Instances\":[" + GoodEntry("i-1").dump() + ", " +
+                             entry + " ," + GoodEntry("i-2").dump() + "],\"Next\":\"p-2\"}";
+    const InstancePage read = HandleErrors([&] { return ParseInstancePage(page); },
+                                           [](const Error&) { return InstancePage(); });
+    CHECK(read.upstreams.size() == 2);
+    CHECK(read.unusable == 1);
+    CHECK(read.next_page == "p-2");
+  }
+}
+
+TEST_CASE("a page that is not whole is no list") {
+  const std::string page = R"({"Instances":[)" + GoodEntry().dump() + R"(],"Next":null})";
+  for (std::size_t size = 0; size < page.size(); ++size) {
+    const bool refused = HandleErrors(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(ParseInstancePage(page.substr(0, size)));
+          return false;
+        },
+        [](const Error&) { return true; });
+    CHECK(refused);
+  }
+  CHECK(Parse(Json::array()).upstreams.empty());
+}
+
 TEST_CASE("an entry of another writer names no upstream, and the others hold") {
   std::vector<Json> unusable = {Json(), Json(5), Json("text"), Json::array()};
   for (const char* field : {"Id", "Service", "Address", "Zone", "Version", "State"}) {
