Join only the rest of a stream to it

An answer takes over a stream only with the status and content type with which it began, and its first event must stand behind the last one; else it counts as broken. A stream whose events have no ids is not resumed, since nothing tells where it broke off.

--- a/include/masticrill/gateway/event_splitter.h
+++ b/include/masticrill/gateway/event_splitter.h
@@ -21,18 +21,26 @@
   const std::string& Pending() const { return this->pending; }
   /// Whether the event at the end is longer than any that is believed.
   bool TooLong() const { return this->pending.size() > kMaxEventBytes; }
-  /// Discards the incomplete event, when the stream resumes at another upstream.
-  void DropPending() { this->pending.clear(); }
+  /// Discards the incomplete event, as the stream resumes at another upstream. What follows must
+  /// begin behind the last event.
+  void Resume();
+  /// Whether what followed a resumption did not begin behind the last event. No more events are
+  /// returned then.
+  bool Misplaced() const { return this->misplaced; }
 
  private:
   /// Engines send a few tokens with each event.
   static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20U;
 
-  void OnEvent(std::string_view event);
+  /// Returns whether the event may follow those before it.
+  bool OnEvent(std::string_view event);
 
   std::string pending;
   std::string last_event_id;
   std::uint64_t event_count = 0;
+  /// Between a resumption and the first event behind it.
+  bool resuming = false;
+  bool misplaced = false;
 };
 
 }  // namespace masticrill::gateway
--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -18,6 +18,10 @@
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
 
+std::string ContentType(const net::AnswerHead& head) {
+  return std::string(head.Header("Content-Type").value_or(""));
+}
+
 /// The part of one answer in the bytes that all answers of the gateway have buffered.
 class BufferedBytes {
  public:
@@ -96,7 +100,7 @@
       }
     }
   }
-  if (this->caller.Begun() && !IsSuccess(status)) {
+  if (this->caller.Begun() && !this->ContinuesStream(attempt.Head())) {
     return this->RetryOrRefuse(attempt, AttemptEnd::kBroken, RefusalKind::kAnswerInterrupted);
   }
   if (IsSuccess(status)) {
@@ -175,19 +179,25 @@
   this->stream_begun_at = this->clock.Now();
   this->first_byte = this->stream_begun_at - this->arrived_at;
   const net::AnswerHead& head = attempt.Head();
+  this->stream_status = head.status;
+  this->stream_type = ContentType(head);
   return this->caller.Begin(head.status, net::WithoutConnectionFields(head.headers),
                             this->deadline);
 }
 
+bool CallRunner::ContinuesStream(const net::AnswerHead& head) const {
+  return head.status == this->stream_status && ContentType(head) == this->stream_type;
+}
+
 CallRunner::NextStep CallRunner::RelayStream(UpstreamAttempt& attempt) {
   const AttemptTimes times = this->MakeTimes(this->attempts);
-  this->events.DropPending();
+  this->events.Resume();
   const std::uint64_t events_before = this->events.EventCount();
   while (true) {
     std::string part;
     AttemptEnd end = attempt.ReadPart(part, this->caller.Socket(), times);
     const std::string events_now = this->events.Feed(part);
-    if (this->events.TooLong()) {
+    if (this->events.TooLong() || this->events.Misplaced()) {
       end = AttemptEnd::kBroken;
     }
     if (!events_now.empty()) {
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -342,12 +342,17 @@
   return times;
 }
 
+/// Without ids, nothing tells another upstream where the stream broke off.
+bool CallRunner::HasPlaceToResume() const {
+  return this->events.EventCount() == 0 || !this->events.LastEventId().empty();
+}
+
 routing::RetryDecision CallRunner::TakeRetry(routing::HandOverState hand_over,
                                              std::uint32_t attempts_made) {
   return routing::DecideRetry({.hand_over = hand_over,
                                .repeatable = this->route->Repeatable(),
                                .stream_started = this->caller.Begun(),
-                               .resumable = this->route->resumable,
+                               .resumable = this->route->resumable && this->HasPlaceToResume(),
                                .attempts_made = attempts_made,
                                .max_attempts = this->route->max_attempts,
                                .now = this->clock.Now(),
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -97,8 +97,11 @@
   NextStep RelayWhole(UpstreamAttempt& attempt);
   NextStep RelayStream(UpstreamAttempt& attempt);
   bool BeginStream(const UpstreamAttempt& attempt);
+  /// Whether the answer can be the rest of the stream that the caller has the beginning of.
+  bool ContinuesStream(const net::AnswerHead& head) const;
   double ConfidenceTarget() const;
   bool ShouldEscalate(const UpstreamAttempt& attempt);
+  bool HasPlaceToResume() const;
   /// Decides whether a further attempt is allowed and, if so, takes it from the retry budget.
   routing::RetryDecision TakeRetry(routing::HandOverState hand_over, std::uint32_t attempts_made);
   /// Retries at another upstream if that is allowed, or ends the request.
@@ -144,6 +147,9 @@
   std::string last_attempt_end;
   std::optional<Duration> first_byte;
   TimePoint stream_begun_at;
+  /// Of the answer with which the stream began.
+  int stream_status = 0;
+  std::string stream_type;
 };
 
 }  // namespace masticrill::gateway
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -502,6 +502,66 @@
   CHECK(upstream.Calls() == 0);
 }
 
+// Guards against streams that go on with an error's text, or end as if they were complete, when the
+// upstream that takes over answers with something else than the rest.
+TEST_CASE("only the rest of a stream is joined to it; anything else ends it broken off") {
+  const std::string events = Chunk(Event(3)) + Chunk(Event(4)) + Chunk("");
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 500 Bad\r\nSigned: 1\r\nContent-Length: 7\r\n\r\nerror\n\n",
+      "HTTP/1.1 404 Gone\r\nSigned: 1\r\nContent-Length: 7\r\n\r\nerror\n\n",
+      "HTTP/1.1 302 Else\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 204 None\r\nSigned: 1\r\n\r\n",
+      "HTTP/1.1 202 Later\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + events,
+      "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Type: application/json\r\n"
+      "Content-Length: 6\r\n\r\n\"er\"\n\n",
+      "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Type: application/json\r\n"
+      "Content-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + events,  // unsigned
+      kStreamHead + Chunk(Event(1)) + Chunk(Event(2)) + events,          // from an earlier event
+      kStreamHead + Chunk(Event(2)) + events,
+      kStreamHead + Chunk("data: error\n\n") + Chunk(""),  // an event without an id
+      "HTTP/1.1 200 OK\r\nSigned: 1",
+      "garbage\r\n\r\n",
+      "",
+  };
+  for (const std::uint32_t attempts : {2U, 3U}) {
+    for (const std::string& answer : answers) {
+      CAPTURE(answer);
+      RawUpstream first([&](const RawCall& call) {
+        call.Write(kStreamHead + Chunk(Event(1)) + Chunk(Event(2)));
+      });
+      RawUpstream second([&](const RawCall& call) { call.Write(answer); });
+      GatewayPath path(RouteOf(RouteKind::kStream, attempts));
+      path.SetUpstreams({first.Address(), second.Address()});
+      const CallerSaw saw = path.Send(Post());
+      const ChunkedBody body = BodyOf(saw);
+      CHECK(saw.Status() == 200);
+      CHECK(body.text == Event(1) + Event(2));
+      CHECK_FALSE(body.whole);
+      CHECK(second.Calls() == 1);
+    }
+  }
+}
+
+// Guards against an earlier answer of a faulty upstream that is taken for that of the next request.
+TEST_CASE("each attempt has a connection of its own, and what comes after its answer is dropped") {
+  const std::string refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  std::vector<std::string> heads;
+  RawUpstream upstream([&](const RawCall& call) {
+    heads.push_back(call.head);
+    call.Write(kWhole + refusal + kWhole);
+  });
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 2));
+  path.SetUpstreams({upstream.Address()});
+  for (int round = 0; round < 3; ++round) {
+    const CallerSaw saw = path.Send(Post());
+    CHECK(saw.Status() == 200);
+    CHECK(saw.bytes.ends_with("\r\n\r\ngood"));
+  }
+  REQUIRE(heads.size() == 3);
+  CHECK(heads.front().find("Connection: close\r\n") != std::string::npos);
+}
+
 // Guards against requests that are sent on under a configuration which was replaced while they
 // waited or were tried elsewhere.
 TEST_CASE("a further attempt is made under the newest configuration, or the request is refused") {
--- a/test/gateway/event_splitter_test.cc
+++ b/test/gateway/event_splitter_test.cc
@@ -27,10 +27,29 @@
   EventSplitter splitter;
   CHECK(splitter.Feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
   CHECK(splitter.LastEventId() == "1");
-  splitter.DropPending();
+  splitter.Resume();
   CHECK(splitter.Feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
   CHECK(splitter.LastEventId() == "2");
 }
 
+// Guards against streams that go on with an earlier event, or with something else than events.
+TEST_CASE("what follows a resumption begins behind the last event") {
+  const std::string last = "id: 9\ndata: x\n\n";
+  for (const char* next : {"id: 9\ndata: x\n\n", "id: 3\ndata: x\n\n", "data: x\n\n",
+                           ": note\n\ndata: x\n\n", "id: 09\ndata: x\n\n"}) {
+    CAPTURE(std::string(next));
+    EventSplitter splitter;
+    splitter.Feed(last);
+    splitter.Resume();
+    CHECK(splitter.Feed(next).find("data") == std::string::npos);
+    CHECK(splitter.Misplaced());
+    CHECK(splitter.Feed("id: 10\ndata: x\n\n").empty());
+    CHECK(splitter.LastEventId() == "9");
+    splitter.Resume();
+    CHECK_FALSE(splitter.Misplaced());
+    CHECK(splitter.Feed("id: 10\ndata: x\n\ndata: y\n\n") == "id: 10\ndata: x\n\ndata: y\n\n");
+  }
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
