Take no kept connection on which bytes have come that belong to no call

A sidecar keeps connections to its engine for calls that may be repeated. At gateways each attempt has a connection of its own.

A kept connection with unread bytes, or whose end can be read, is dropped when it is taken.

Failed before: "bytes that follow an answer are not the next call's answer" (the body of the former call), "bytes that come while a connection is idle ..." ("stray"). Not covered: bytes that come just after the next call was sent, on engines that name no request in their answers.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -20,7 +20,17 @@
 constexpr std::size_t kMaxIdleConnections = 64;
 constexpr std::string_view kEventStream = "text/event-stream";
 
-using Session = Poco::Net::HTTPClientSession;
+/// A connection that can tell whether bytes have come, or its end, that belong to no call.
+class Session : public Poco::Net::HTTPClientSession {
+ public:
+  explicit Session(const Poco::Net::SocketAddress& address)
+      : Poco::Net::HTTPClientSession(address) {}
+
+  bool HasStrayBytes() {
+    return this->buffered() > 0 ||
+           this->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+  }
+};
 
 Poco::Timespan ToTimespan(milliseconds duration) {
   return {static_cast<Poco::Timespan::TimeDiff>(duration.count() * 1000)};
@@ -99,15 +109,23 @@
   std::mutex mutex;
   std::vector<std::unique_ptr<Session>> idle;
 
-  std::unique_ptr<Session> Take(bool may_reuse_connection) {
-    if (may_reuse_connection) {
-      const std::lock_guard lock(this->mutex);
-      if (!this->idle.empty()) {
-        std::unique_ptr<Session> session = std::move(this->idle.back());
-        this->idle.pop_back();
+  /// A kept connection on which nothing has come since its last answer; null when there is none.
+  std::unique_ptr<Session> TakeIdle() {
+    const std::lock_guard lock(this->mutex);
+    while (!this->idle.empty()) {
+      std::unique_ptr<Session> session = std::move(this->idle.back());
+      this->idle.pop_back();
+      if (!session->HasStrayBytes()) {
         return session;
       }
     }
+    return nullptr;
+  }
+
+  std::unique_ptr<Session> Take(bool may_reuse_connection) {
+    if (std::unique_ptr<Session> kept = may_reuse_connection ? this->TakeIdle() : nullptr) {
+      return kept;
+    }
     auto session = std::make_unique<Session>(Poco::Net::SocketAddress(this->address));
     // A connection that nobody will use again must not occupy a thread of the server.
     session->setKeepAlive(may_reuse_connection);
