Change a declaration by its delta also while members of the group cannot be asked

A trial with 5,000 idle routes: the first configuration was proposed with its whole text, as two observers that had just joined did not answer in time which commands their programs know; six elections in 1.5 s followed. A member now counts as one of an earlier program only when it has answered so; others are taken for what the majority is.

--- a/include/masticrill/common/memory.h
+++ b/include/masticrill/common/memory.h
@@ -7,9 +7,6 @@
 /// later ones of their size. Called once, before other threads start.
 void ReturnLargeBlocks();
 
-/// Returns freed memory to the system. Takes milliseconds; called after work that needed much.
-void ReturnFreeMemory();
-
 }  // namespace masticrill
 
 #endif  // MASTICRILL_COMMON_MEMORY_H_
--- a/src/common/memory.cc
+++ b/src/common/memory.cc
@@ -10,6 +10,4 @@
   mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
 }
 
-void ReturnFreeMemory() { malloc_trim(0); }
-
 }  // namespace masticrill
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -59,7 +59,7 @@
         [](const Error&) { return false; });
   }
   for (const auto& [client, exchange] : calls) {
-    visit(exchange->WaitNext(left()));
+    visit(exchange->WaitNext(left()), *client);
     client->Finish(*exchange);
   }
 }
@@ -67,7 +67,7 @@
 std::vector<net::NodeReport> FleetView::CollectReports() {
   std::vector<net::NodeReport> reports;
   this->AskAll(net::FleetRequest{this->addresses.Credentials().self.node},
-               [&](const net::FrameQueue::Next& next) {
+               [&](const net::FrameQueue::Next& next, const net::RpcClient&) {
                  if (const auto reply = ReadMessage<net::FleetReply>(next)) {
                    reports.insert(reports.end(), reply->nodes.begin(), reply->nodes.end());
                  }
@@ -77,24 +77,28 @@
   return MergeReports(reports);
 }
 
-std::set<NodeId> FleetView::HostsWithFeature(const std::string& feature) {
-  std::set<NodeId> hosts;
+FeatureSurvey FleetView::AskFeature(const std::string& feature) {
+  FeatureSurvey survey;
   this->AskAll(net::FeaturesRequest{this->addresses.Credentials().self.node},
-               [&](const net::FrameQueue::Next& next) {
-                 const auto reply = ReadMessage<net::FeaturesReply>(next);
-                 if (reply && std::find(reply->features.begin(), reply->features.end(), feature) !=
-                                  reply->features.end()) {
-                   hosts.insert(reply->node);
+               [&](const net::FrameQueue::Next& next, const net::RpcClient& host) {
+                 const std::optional<net::Identity> peer = host.Peer();
+                 if (!peer || next.status != net::FrameQueue::Status::kFrame) {
+                   return;
                  }
+                 const auto reply = ReadMessage<net::FeaturesReply>(next);
+                 const bool knows =
+                     reply && std::find(reply->features.begin(), reply->features.end(), feature) !=
+                                  reply->features.end();
+                 (knows ? survey.knowing : survey.not_knowing).insert(peer->node);
                });
-  return hosts;
+  return survey;
 }
 
 EntryReports FleetView::CollectEntryReports() {
   EntryReports collected;
   std::vector<net::AgedEntryReport> reports;
   this->AskAll(net::EntryReportsRequest{this->addresses.Credentials().self.node},
-               [&](const net::FrameQueue::Next& next) {
+               [&](const net::FrameQueue::Next& next, const net::RpcClient&) {
                  if (const auto reply = ReadMessage<net::EntryReportsReply>(next)) {
                    reports.insert(reports.end(), reply->reports.begin(), reply->reports.end());
                  }
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -11,6 +11,12 @@
 
 namespace masticrill::control {
 
+/// Which control hosts know a feature, as far as they replied in time.
+struct FeatureSurvey {
+  std::set<NodeId> knowing;
+  std::set<NodeId> not_knowing;
+};
+
 /// The last reports of all entries, as far as control hosts were reached.
 struct EntryReports {
   std::vector<net::AgedEntryReport> reports;
@@ -30,8 +36,8 @@
   std::vector<net::NodeReport> CollectReports();
   /// The same for the reports that entries have sent beside their lease requests.
   EntryReports CollectEntryReports();
-  /// The other control hosts whose programs know a feature, as far as they reply in time.
-  std::set<NodeId> HostsWithFeature(const std::string& feature);
+  /// Asks the other control hosts whether their programs know a feature.
+  FeatureSurvey AskFeature(const std::string& feature);
   /// The nodes that request leases from this host.
   std::vector<net::NodeReport> OwnReports() { return this->nodes.Reports(this->clock.Now()); }
 
--- a/src/control/operator_access.cc
+++ b/src/control/operator_access.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 #include "masticrill/common/log.h"
 #include "masticrill/common/random.h"
@@ -161,7 +162,7 @@
     }
     const state::PatchId patch_id(SecureRandomHex(kPatchIdBytes));
     CommitEnd ended;
-    if (this->state.KeepsTextApart() || this->AllMembersKnowDeclarationChanges()) {
+    if (this->state.KeepsTextApart() || this->MembersKnowDeclarationChanges()) {
       ended = this->Commit(
           state::ChangeDeclaration{.patch_id = patch_id,
                                    .revision = declaration.revision,
@@ -189,15 +190,33 @@
   return OvertakenEachTime();
 }
 
-/// A program that does not know the command would apply another state than the others.
-bool ReplicatedOperatorAccess::AllMembersKnowDeclarationChanges() {
+/// A program that does not know the command would apply another state than the others. A member
+/// that cannot be asked and was never found to be of such a program is taken for one of the
+/// majority's.
+bool ReplicatedOperatorAccess::MembersKnowDeclarationChanges() {
+  const FeatureSurvey answers = this->fleet.AskFeature(net::kDeclarationChangesFeature);
   const consensus::ReplicaStatus status = this->replica.Status().replica;
-  const std::set<NodeId> hosts = this->fleet.HostsWithFeature(net::kDeclarationChangesFeature);
-  const auto knows = [&](const consensus::ReplicaId& member) {
-    return member.node == status.id.node || hosts.contains(member.node);
+  const std::scoped_lock lock(this->survey_mutex);
+  for (const NodeId& host : answers.knowing) {
+    this->survey.knowing.insert(host);
+    this->survey.not_knowing.erase(host);
+  }
+  for (const NodeId& host : answers.not_knowing) {
+    this->survey.not_knowing.insert(host);
+    this->survey.knowing.erase(host);
+  }
+  const auto is_older = [&](const consensus::ReplicaId& member) {
+    return this->survey.not_knowing.contains(member.node);
   };
-  return std::all_of(status.membership.voters.begin(), status.membership.voters.end(), knows) &&
-         std::all_of(status.membership.learners.begin(), status.membership.learners.end(), knows);
+  const std::vector<consensus::ReplicaId>& voters = status.membership.voters;
+  const std::vector<consensus::ReplicaId>& learners = status.membership.learners;
+  const auto knowing =
+      std::count_if(voters.begin(), voters.end(), [&](const consensus::ReplicaId& member) {
+        return member.node == status.id.node || this->survey.knowing.contains(member.node);
+      });
+  return static_cast<std::size_t>(knowing) >= status.membership.Quorum() &&
+         std::none_of(voters.begin(), voters.end(), is_older) &&
+         std::none_of(learners.begin(), learners.end(), is_older);
 }
 
 /// A lease from before the revision was committed ends at most a lease's length later. Waits until
--- a/src/control/operator_access.h
+++ b/src/control/operator_access.h
@@ -1,6 +1,7 @@
 #ifndef MASTICRILL_CONTROL_REPLICATED_OPERATOR_ACCESS_H_
 #define MASTICRILL_CONTROL_REPLICATED_OPERATOR_ACCESS_H_
 
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -46,7 +47,7 @@
                    const std::string& reason);
   ChangeOutcome CommitDeclaration(const config::Declaration& declaration, const std::string& author,
                                   const std::string& reason);
-  bool AllMembersKnowDeclarationChanges();
+  bool MembersKnowDeclarationChanges();
   void AwaitEarlierLeases(std::uint64_t revision) const;
 
   const ControlOptions& options;
@@ -55,6 +56,9 @@
   Proposer& proposer;
   FleetView& fleet;
   const RevisionTimes& revision_times;
+  std::mutex survey_mutex;
+  /// Of all answers so far; the last one of each host counts.
+  FeatureSurvey survey;
   SystemClock clock;
 };
 
