Wait before asking again when a transfer makes no progress

A control host that answers a node's request for the next piece with none would have been asked again without a pause.

--- a/src/node/lease_client.cc
+++ b/src/node/lease_client.cc
@@ -218,7 +218,7 @@
       [&]() -> Result<NextRequest> {
         BOOST_LEAF_AUTO(received, this->receiver.Take(renewed));
         if (!received.complete) {
-          return NextRequest::kAtOnce;
+          return renewed.piece.bytes.empty() ? NextRequest::kSoon : NextRequest::kAtOnce;
         }
         return this->TakeGrant(reply, request, received.configuration);
       },
