Keep the view to which a request's route belongs when a newer one has no lease

A request that was refused at its hand-over, as the newest view's lease had ended, let go of the view that holds its route and then named the route in its record: memory that may have been freed. Found by reading the diff.

--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -100,6 +100,10 @@
                    "This node has no configuration yet. Retry later.",
                    this->context.settings.retry_after_no_lease};
   }
+  // A configuration that may be out of date says nothing about routes and keys.
+  if (std::optional<Refusal> refusal = this->CheckLease()) {
+    return refusal;
+  }
   if (std::optional<Refusal> refusal = this->ReadRoute()) {
     return refusal;
   }
@@ -109,12 +113,8 @@
   return std::nullopt;
 }
 
-/// Finds the route and the owner of the key in the view, whose lease is checked first: a
-/// configuration that may be out of date says nothing about either.
+/// Finds the route and the owner of the key in the view.
 std::optional<Refusal> CallRunner::ReadRoute() {
-  if (std::optional<Refusal> refusal = this->CheckLease()) {
-    return refusal;
-  }
   const RouteTable& table = *this->view->table;
   this->route = table.FindRoute(this->request.Header("Host").value_or(""), this->request.Path());
   if (this->route == nullptr) {
@@ -139,13 +139,14 @@
 }
 
 std::optional<Refusal> CallRunner::UseNewestView() {
-  const GatewayViewPtr newest = this->context.view();
-  if (newest == this->view) {
-    return this->CheckLease();
+  const GatewayViewPtr former = std::exchange(this->view, this->context.view());
+  if (std::optional<Refusal> refusal = this->CheckLease()) {
+    // The route belongs to the former view.
+    this->view = former;
+    return refusal;
   }
-  const GatewayViewPtr former = std::exchange(this->view, newest);
-  if (former->table == newest->table) {
-    return this->CheckLease();
+  if (former->table == this->view->table) {
+    return std::nullopt;
   }
   const Route& admitted = *this->route;
   const TeamId team = this->owner.team;
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -587,6 +587,21 @@
   }
 }
 
+TEST_CASE("a request that waited until the lease of a newer configuration ended is refused") {
+  GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 3));
+  RawUpstream first([&](const RawCall& call) {
+    path.Declare(RouteOf(RouteKind::kAtMostOnce, 3));
+    path.lease_valid = false;
+    call.Write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  RawUpstream second([](const RawCall& call) { call.Write(kWhole); });
+  path.SetUpstreams({first.Address(), second.Address()});
+  const CallerSaw saw = path.Send(Post());
+  CHECK(saw.Status() == 503);
+  CHECK(saw.Has("\"not_run\":\"true\""));
+  CHECK(second.Calls() == 0);
+}
+
 TEST_CASE("a public route is served only with a lease, too") {
   RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
   Route route = RouteOf(RouteKind::kAtMostOnce);
