--- a/bench/declaration_change.cc
+++ b/bench/declaration_change.cc
@@ -6,10 +6,10 @@
 #include <cstdint>
 #include <cstdio>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <string>
 
 #include "control/text_update_cache.h"
+#include "fakes/platform_declaration.h"
 #include "masticrill/node/configuration_receiver.h"
 #include "masticrill/state/codec.h"
 #include "masticrill/state/replicated_state.h"
@@ -18,41 +18,7 @@
 namespace masticrill {
 namespace {
 
-using Json = nlohmann::json;
-
-/// Names as random as those of operators, so that they compress no better.
-std::string Name(std::uint64_t number) {
-  constexpr std::uint64_t kMix = 0x9e3779b97f4a7c15;
-  char text[20];
-  std::snprintf(text, sizeof text, "%012llx",
-                static_cast<unsigned long long>((number * kMix) >> 16U));
-  return text;
-}
-
-std::string Declaration(std::uint64_t revision, int routes, int changed = -1) {
-  Json root = {{"Version", revision},
-               {"Routes", Json::array()},
-               {"Services", {{{"Name", "s"}, {"MaxConnections", 390}}}},
-               {"Tenants", {{{"Name", "t"}, {"ApiKeys", {"k"}}}}}};
-  for (int index = 0; index < routes; ++index) {
-    root["Routes"].push_back(
-        {{"Name", "r-" + Name(static_cast<std::uint64_t>(index))},
-         {"Host", "idle.example"},
-         {"PathPrefix", "/" + Name(static_cast<std::uint64_t>(index) + 1'000'000) + "/"},
-         {"Kind", "streaming"},
-         {"TimeoutMs", index == changed ? 26'000 : 25'000},
-         {"TargetLatencyMs", 3000},
-         {"Priority", 1},
-         {"Sizes", {"daka510000", "rada7437b5", "ravo486f6a"}},
-         {"Backends", {{{"Service", "s"}, {"Weight", 90}}}},
-         {"MaxAttempts", 3},
-         {"Public", false},
-         {"Sticky", true},
-         {"Resumable", true},
-         {"TargetGapMs", 1200}});
-  }
-  return root.dump();
-}
+using fakes::Declaration;
 
 double Milliseconds(const std::function<void()>& work) {
   const auto begin = std::chrono::steady_clock::now();
