--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -506,16 +506,16 @@
 // upstream that takes over answers with something else than the rest.
 TEST_CASE("only the rest of a stream is joined to it; anything else ends it broken off") {
   const std::string events = Chunk(Event(3)) + Chunk(Event(4)) + Chunk("");
+  const std::string json_head =
+      "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Type: application/json\r\n";
   const std::vector<std::string> answers = {
       "HTTP/1.1 500 Bad\r\nSigned: 1\r\nContent-Length: 7\r\n\r\nerror\n\n",
       "HTTP/1.1 404 Gone\r\nSigned: 1\r\nContent-Length: 7\r\n\r\nerror\n\n",
       "HTTP/1.1 302 Else\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n",
       "HTTP/1.1 204 None\r\nSigned: 1\r\n\r\n",
       "HTTP/1.1 202 Later\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + events,
-      "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Type: application/json\r\n"
-      "Content-Length: 6\r\n\r\n\"er\"\n\n",
-      "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Type: application/json\r\n"
-      "Content-Length: 0\r\n\r\n",
+      json_head + "Content-Length: 6\r\n\r\n\"er\"\n\n",
+      json_head + "Content-Length: 0\r\n\r\n",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + events,  // unsigned
       kStreamHead + Chunk(Event(1)) + Chunk(Event(2)) + events,          // from an earlier event
       kStreamHead + Chunk(Event(2)) + events,
