--- a/src/common/compression.cc
+++ b/src/common/compression.cc
@@ -25,7 +25,8 @@
   constexpr std::size_t kBlockBytes = std::size_t{64} << 10U;
   std::string bytes;
   try {
-    Poco::MemoryInputStream input(compressed.data(), compressed.size());
+    Poco::MemoryInputStream input(compressed.data(),
+                                  static_cast<std::streamsize>(compressed.size()));
     Poco::InflatingInputStream stream(input, Poco::InflatingStreamBuf::STREAM_ZLIB);
     std::string block(kBlockBytes, '\0');
     while (stream.good()) {
