Ask for a declaration again where too few members have told what they know

With fewer answers than a quorum, and no member known to be of an earlier program, a declaration went by its whole text, which a large one does not survive (400 near 4 MiB). It is now answered 503, nothing changed, and sent again by the operator. Whole texts are left to groups with a member of an earlier program.

--- a/src/control/operator_access.cc
+++ b/src/control/operator_access.cc
@@ -162,7 +162,11 @@
     }
     const state::PatchId patch_id(SecureRandomHex(kPatchIdBytes));
     CommitEnd ended;
-    if (this->state.KeepsTextApart() || this->MembersKnowDeclarationChanges()) {
+    const DeclarationPath path = this->ChooseDeclarationPath();
+    if (path == DeclarationPath::kUnknown) {
+      return {false, ToError(CommitStatus::kNoQuorum)};
+    }
+    if (path == DeclarationPath::kDelta) {
       ended = this->Commit(
           state::ChangeDeclaration{.patch_id = patch_id,
                                    .revision = declaration.revision,
@@ -193,7 +197,10 @@
 /// A program that does not know the command would apply another state than the others. A member
 /// that cannot be asked and was never found to be of such a program is taken for one of the
 /// majority's.
-bool ReplicatedOperatorAccess::MembersKnowDeclarationChanges() {
+ReplicatedOperatorAccess::DeclarationPath ReplicatedOperatorAccess::ChooseDeclarationPath() {
+  if (this->state.KeepsTextApart()) {
+    return DeclarationPath::kDelta;
+  }
   const FeatureSurvey answers = this->fleet.AskFeature(net::kDeclarationChangesFeature);
   const consensus::ReplicaStatus status = this->replica.Status().replica;
   const std::scoped_lock lock(this->survey_mutex);
@@ -210,13 +217,17 @@
   };
   const std::vector<consensus::ReplicaId>& voters = status.membership.voters;
   const std::vector<consensus::ReplicaId>& learners = status.membership.learners;
+  if (std::any_of(voters.begin(), voters.end(), is_older) ||
+      std::any_of(learners.begin(), learners.end(), is_older)) {
+    return DeclarationPath::kWholeText;
+  }
   const auto knowing =
       std::count_if(voters.begin(), voters.end(), [&](const consensus::ReplicaId& member) {
         return member.node == status.id.node || this->survey.knowing.contains(member.node);
       });
-  return static_cast<std::size_t>(knowing) >= status.membership.Quorum() &&
-         std::none_of(voters.begin(), voters.end(), is_older) &&
-         std::none_of(learners.begin(), learners.end(), is_older);
+  return static_cast<std::size_t>(knowing) >= status.membership.Quorum()
+             ? DeclarationPath::kDelta
+             : DeclarationPath::kUnknown;
 }
 
 /// A lease from before the revision was committed ends at most a lease's length later. Waits until
--- a/src/control/operator_access.h
+++ b/src/control/operator_access.h
@@ -40,6 +40,13 @@
   ChangeOutcome Declare(const config::Declaration& declaration, const std::string& author) override;
 
  private:
+  /// How a declaration is committed.
+  enum class DeclarationPath {
+    kDelta,
+    kWholeText,  // A member's program knows no deltas.
+    kUnknown,    // Too few members have told what they know.
+  };
+
   /// The end of an attempt to commit; absent when another change was committed first.
   using CommitEnd = std::optional<ChangeOutcome>;
 
@@ -47,7 +54,7 @@
                    const std::string& reason);
   ChangeOutcome CommitDeclaration(const config::Declaration& declaration, const std::string& author,
                                   const std::string& reason);
-  bool MembersKnowDeclarationChanges();
+  DeclarationPath ChooseDeclarationPath();
   void AwaitEarlierLeases(std::uint64_t revision) const;
 
   const ControlOptions& options;
