--- a/test/gateway/route_table_test.cc
+++ b/test/gateway/route_table_test.cc
@@ -30,7 +30,6 @@
   CHECK(table.FindRoute("c.example", "/") == nullptr);
 }
 
-// Guards against look-ups that read through all routes of a host.
 TEST_CASE("a route is found among many of one host, by its own prefix and no other's") {
   constexpr int kRoutes = 10'000;
   std::vector<std::pair<std::string, std::string>> places;
--- a/test/process/configuration_change_test.cc
+++ b/test/process/configuration_change_test.cc
@@ -111,6 +111,37 @@
   }
 }
 
+// Guards against configurations that come later the larger they have grown.
+TEST_CASE("a configuration that grows by many routes at a time costs a node what is added") {
+  constexpr int kStep = 1400;
+  constexpr int kSteps = 4;
+  constexpr std::uint64_t kOverhead = 16'384;
+  const PlatformHosts hosts(kNoList, 0);
+  std::string former = ManyRoutes(hosts, 1, 40);
+  Await("the first configuration", [&] { return Put(hosts, former) == 200; });
+  const fakes::CountingRelay relay(hosts.At(1, hosts.ports.internal));
+  const auto link = std::make_shared<node::ControlLink>(std::vector<std::string>{relay.Address()},
+                                                        EntryCredentials(), net::ChannelLimits{});
+  std::atomic<std::uint64_t> revision = 0;
+  node::LeaseClient leases(
+      link, EntryCredentials().self, "127.0.0.1:2",
+      [&](const config::ConfigurationPtr& configuration, const node::LeaseUpdate&) {
+        revision = configuration->declaration.revision;
+        return true;
+      });
+  Await("the first configuration at the node", [&] { return revision == 1; });
+  for (int step = 1; step <= kSteps; ++step) {
+    CAPTURE(step);
+    const auto next = static_cast<std::uint64_t>(step) + 1;
+    const std::string body = ManyRoutes(hosts, step + 1, 40 + step * kStep);
+    const std::uint64_t before = relay.BytesBack();
+    REQUIRE(Put(hosts, body) == 200);
+    Await("the next configuration at the node", [&] { return revision == next; });
+    CHECK(relay.BytesBack() - before <= body.size() - former.size() + kOverhead);
+    former = body;
+  }
+}
+
 // Guards against configurations of the allowed size that no control host takes.
 TEST_CASE("a configuration of 4 MiB is acknowledged, and read back as it was sent") {
   constexpr std::size_t kMaxBody = std::size_t{4} << 20U;
