Log and count requests that are cut, by the phase of a planned stop

An operator could not tell a request that the end of the process cut off from one whose upstream broke off, nor how far it had come: the record of its end said neither the phase of the stop nor whether it had been handed over, and a request still in progress at the end had no record at all.

Each request in progress has a slot with its stage; those that are left at the end of a stop are logged with age, stage, phase and what was left of the stop when they arrived. masticrill_gateway_cut_total counts, by phase, the requests whose connection was closed without a complete answer. No behaviour changes.

--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -181,6 +181,7 @@
   const net::AnswerHead& head = attempt.Head();
   this->stream_status = head.status;
   this->stream_type = ContentType(head);
+  this->slot.Reach(CallStage::kAnswering);
   return this->caller.Begin(head.status, net::WithoutConnectionFields(head.headers),
                             this->deadline);
 }
@@ -223,9 +224,8 @@
       return NextStep::kStop;
     }
     if (end == AttemptEnd::kTimeout && this->caller.Begun()) {
-      this->RecordEnd("failed", 0, "deadline_exceeded");
       this->context.metrics.refusals.Add(RefusalKind::kDeadlineExceeded);
-      this->caller.Abort();
+      this->Cut("deadline_exceeded");
       return NextStep::kStop;
     }
     if (end == AttemptEnd::kFinished) {
--- a/src/gateway/call_end.cc
+++ b/src/gateway/call_end.cc
@@ -31,8 +31,7 @@
                         std::optional<milliseconds> retry_after) {
   this->context.metrics.refusals.Add(kind);
   if (this->caller.Begun()) {
-    this->caller.Abort();
-    this->RecordEnd("failed", 0, ToString(kind));
+    this->Cut(ToString(kind));
     return;
   }
   const Execution execution = this->ExecutionSoFar();
@@ -55,6 +54,21 @@
   this->RecordEnd(execution == Execution::kNotRun ? "refused" : "failed", status, ToString(kind));
 }
 
+void CallRunner::Cut(std::string_view reason) {
+  this->caller.Abort();
+  this->context.metrics.cut.Add(this->context.phase());
+  this->RecordEnd("failed", 0, reason);
+}
+
+ActiveCall CallRunner::Describe() const {
+  ActiveCall call;
+  call.arrived_at = this->arrived_at;
+  if (const std::optional<TimePoint> ends_at = this->context.ends_at()) {
+    call.stop_left = *ends_at - this->clock.Now();
+  }
+  return call;
+}
+
 /// The model of the last attempt; empty where the system did not choose it.
 std::string CallRunner::LastModel() const {
   const bool chosen =
@@ -86,6 +100,7 @@
              {"model", this->LastModel()},
              {"last_attempt", this->last_attempt_end},
              {"attempts", this->attempts},
+             {"stop_phase", ToString(this->context.phase())},
              {"events", this->events.EventCount()},
              {"first_byte_ms",
               this->first_byte ? duration_cast<milliseconds>(*this->first_byte).count() : -1},
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -69,11 +69,13 @@
       body(body),
       caller(caller),
       arrived_at(arrived_at),
+      slot(context.active, this->Describe()),
       deadline(arrived_at) {}
 
 void CallRunner::Run() {
   ++this->context.metrics.received;
   this->metadata = this->context.protocol.read_call(this->request);
+  this->slot.SetRequest(this->metadata.request);
   if (const std::optional<Refusal> refusal = this->Admit()) {
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
     return;
@@ -121,6 +123,7 @@
     return Refusal{RefusalKind::kUnknownModel, Execution::kNotRun,
                    "No declared route matches this host and path. Check both.", std::nullopt};
   }
+  this->slot.SetRoute(this->route->id.Value());
   this->owner = {TeamId(), this->route->rank};
   if (!table.requires_keys || this->route->is_public) {
     return std::nullopt;
@@ -315,7 +318,10 @@
 /// The time limits of the next attempt. A silent or slow upstream is abandoned only if a retry
 /// elsewhere is granted: otherwise a late answer is better than none.
 AttemptTimes CallRunner::MakeTimes(std::uint32_t attempts_made) {
-  AttemptTimes times{this->deadline, this->deadline, this->context.settings.upstream_silence, {}};
+  AttemptTimes times{
+      this->deadline, this->deadline, this->context.settings.upstream_silence, {}, [this] {
+        this->slot.Reach(CallStage::kHandedOver);
+      }};
   if (!this->route->Repeatable()) {
     return times;
   }
@@ -491,9 +497,8 @@
     return NextStep::kTryAgain;
   }
   if (this->caller.Begun()) {
-    this->RecordEnd("failed", 0, "answer_interrupted");
     this->context.metrics.refusals.Add(RefusalKind::kAnswerInterrupted);
-    this->caller.Abort();
+    this->Cut("answer_interrupted");
     return NextStep::kStop;
   }
   this->Refuse(this->may_have_run ? RefusalKind::kUpstreamFailed : kind,
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/active_calls.h"
 #include "gateway/caller_stream.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/upstream_attempt.h"
@@ -60,6 +61,8 @@
   std::function<void(TimePoint)> await_lease;
   /// When this process ends at the latest; absent while it is not stopping.
   std::function<std::optional<TimePoint>()> ends_at;
+  std::function<StopPhase()> phase;
+  ActiveCalls& active;
 };
 
 /// Handles one request from its arrival to its end: checks it, chooses the model and the upstream,
@@ -116,6 +119,9 @@
               std::optional<milliseconds> retry_after = std::nullopt);
   std::string LastModel() const;
   void RecordEnd(std::string_view outcome, int status, std::string_view reason);
+  /// Closes the connection without a complete answer, which its caller is still waiting for.
+  void Cut(std::string_view reason);
+  ActiveCall Describe() const;
   Execution ExecutionSoFar() const;
   TimePoint LatencyBound(double factor) const;
   std::string SessionKey() const;
@@ -127,6 +133,7 @@
   CallerStream& caller;
   SystemClock clock;
   TimePoint arrived_at;
+  ActiveCalls::Slot slot;
   TimePoint deadline;
   CallMetadata metadata;
   const Route* route = nullptr;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "gateway/caller_stream.h"
+#include "gateway/stop_phase.h"
 #include "masticrill/common/clock.h"
 #include "masticrill/gateway/route_table.h"
 #include "masticrill/net/http_message.h"
@@ -12,13 +13,6 @@
 
 namespace masticrill::gateway {
 
-/// The phase of a planned stop of this process.
-enum class StopPhase {
-  kServing,
-  kStopping,  // Requests are still served; each connection is closed after its request.
-  kClosing,   // Idle connections are closed too.
-};
-
 /// Serves the requests on one caller's connection, one after the other. Used by one thread.
 class CallerConnection {
  public:
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -31,6 +31,10 @@
   writer.EnumCounters("masticrill_gateway_refused_total",
                       "Requests that ended without an upstream's answer, by reason.", "reason",
                       this->refusals);
+  writer.EnumCounters("masticrill_gateway_cut_total",
+                      "Requests whose connection was closed without a complete answer, by the "
+                      "phase of a planned stop.",
+                      "phase", this->cut);
   writer.EnumCounters("masticrill_gateway_retries_total",
                       "Retry decisions after failed attempts, by reason.", "reason", this->retries);
   writer.Summary("masticrill_gateway_first_byte_seconds",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "gateway/stop_phase.h"
 #include "masticrill/common/metrics.h"
 #include "masticrill/common/refusal.h"
 #include "masticrill/routing/retry.h"
@@ -30,6 +31,8 @@
   EnumCounter<RefusalKind, kAllRefusalKinds.size()> refusals{kAllRefusalKinds};
   EnumCounter<routing::RetryReason, routing::kAllRetryReasons.size()> retries{
       routing::kAllRetryReasons};
+  /// Requests whose connection was closed without a complete answer while their caller was there.
+  EnumCounter<StopPhase, kAllStopPhases.size()> cut{kAllStopPhases};
   /// From the arrival of a request to the head of its answer.
   LatencySummary first_byte;
   LatencySummary whole;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -107,7 +107,9 @@
                      this->lateness,
                      [this] { return this->View(); },
                      [this](TimePoint until) { this->AwaitLease(until); },
-                     [this] { return this->EndsAt(); }},
+                     [this] { return this->EndsAt(); },
+                     [this] { return this->phase.load(); },
+                     this->active},
         started_at(this->clock.Now()) {}
 
   Result<void> Start(UpstreamListReader read_list);
@@ -130,6 +132,8 @@
   /// lost.
   void StopAccepting();
   void Serve(const Poco::Net::StreamSocket& socket);
+  /// Logs and counts the requests that the end of this process cuts off.
+  void RecordCutRequests();
   std::string MetricsText() const;
   net::HttpAnswer AnswerStatus(const net::HttpRequest& request) const;
 
@@ -142,6 +146,7 @@
   PromptGuard prompts;
   GatewayMetrics metrics;
   DemandMeter demand;
+  ActiveCalls active;
   StreamPace pace;
   AnswerLateness lateness;
   CallContext call_context;
@@ -416,6 +421,23 @@
   --this->metrics.connections;
 }
 
+void GatewayServer::State::RecordCutRequests() {
+  const TimePoint now = this->clock.Now();
+  for (const ActiveCall& call : this->active.List()) {
+    this->metrics.cut.Add(this->phase.load());
+    kLog.Warning(
+        "A request is cut off by the end of this process.",
+        {{"request", call.request},
+         {"route", call.route},
+         {"stage", ToString(call.stage)},
+         {"age_ms", duration_cast<milliseconds>(now - call.arrived_at).count()},
+         {"stop_age_ms", duration_cast<milliseconds>(now - this->stop_begun_at.load()).count()},
+         {"stop_left_at_arrival_ms",
+          call.stop_left ? duration_cast<milliseconds>(*call.stop_left).count() : -1},
+         {"stop_phase", ToString(this->phase.load())}});
+  }
+}
+
 std::string GatewayServer::State::MetricsText() const {
   const GatewayViewPtr current = this->View();
   MetricsWriter writer;
@@ -527,7 +549,9 @@
   if (server_state.leases != nullptr) {
     server_state.leases->Stop();
   }
-  kLog.Info("The gateway has stopped.", {{"in_flight", server_state.metrics.in_flight.load()}});
+  server_state.RecordCutRequests();
+  kLog.Info("The gateway has stopped.", {{"in_flight", server_state.metrics.in_flight.load()},
+                                         {"connections", server_state.metrics.connections.load()}});
 }
 
 }  // namespace masticrill::gateway
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -127,6 +127,9 @@
   this->started_at = this->clock.Now();
   this->last_received_at = this->started_at;
   this->handed_over = true;
+  if (times.on_hand_over) {
+    times.on_hand_over();
+  }
   // An upstream may answer before it has read the whole body.
   return ToAttemptEnd(this->stream->Write(bytes, times.deadline, &caller, true));
 }
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -42,6 +42,8 @@
   /// Called before a silent or slow upstream is abandoned: whether the request may be retried
   /// elsewhere. Empty where a retry is ruled out; then only the deadline ends the wait.
   std::function<bool()> may_retry_elsewhere;
+  /// Called before the first byte of the request is sent.
+  std::function<void()> on_hand_over;
 };
 
 /// One attempt to run a request at one upstream, on a connection of its own. Counts as in flight
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -179,6 +179,7 @@
   gateway::UpstreamPool pool{gateway::PoolSettings{.own_domain = FailureDomainId("home")},
                              Random(1)};
   gateway::GatewayMetrics metrics;
+  gateway::ActiveCalls active;
   gateway::StreamPace pace;
   gateway::AnswerLateness lateness;
   routing::EvidenceTable evidence;
@@ -210,7 +211,9 @@
             nullptr, this->Table(), this->lease_valid ? TimePoint::max() : TimePoint::min()});
       },
       [](TimePoint) {},
-      [this] { return this->ends_at; }};
+      [this] { return this->ends_at; },
+      [this] { return this->phase.load(); },
+      active};
   Poco::Net::ServerSocket listener{Poco::Net::SocketAddress("127.0.0.1:0")};
   std::vector<std::thread> threads;
 };
