--- a/test/net/http_client_test.cc
+++ b/test/net/http_client_test.cc
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "fakes/raw_upstream.h"
 #include "fakes/wait_until.h"
 
 namespace masticrill::net {
@@ -133,5 +134,108 @@
   CHECK(server.Connections() == 2);
 }
 
+/// What a call to a server that answers with some bytes and closes is told.
+struct CallSaw {
+  HttpCallEnd end = HttpCallEnd::kConnectFailed;
+  int status = 0;
+  std::string body;
+};
+
+CallSaw CallWithAnswer(const std::string& bytes) {
+  fakes::RawUpstream server([&](const fakes::RawCall& call) { call.Write(bytes); });
+  HttpClient client(server.Address(), {});
+  CallSaw saw;
+  saw.end = client.Stream(
+      {"POST", "/a", {}, "body"}, false, nullptr,
+      [&](int status, const std::vector<HeaderField>&) { saw.status = status; },
+      [&](std::string_view data) {
+        saw.body += data;
+        return true;
+      });
+  return saw;
+}
+
+/// Heads of answers, each with its empty line, whose body may be empty.
+const std::vector<std::string> kHeads = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nSigned: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nSigned: 1\r\n\r\n",
+    "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n",
+};
+
+// Guards against a server that stops in the middle of its answer's head and closes: the end of the
+// connection was taken for the end of the head.
+TEST_CASE("an answer whose head is cut after any byte is broken, and no status is told") {
+  for (const std::string& head : kHeads) {
+    for (std::size_t size = 0; size < head.size(); ++size) {
+      const std::string sent = head.substr(0, size);
+      CAPTURE(sent);
+      const CallSaw saw = CallWithAnswer(sent);
+      CHECK(saw.end == HttpCallEnd::kReset);
+      CHECK(saw.status == 0);
+    }
+  }
+}
+
+// Guards against a part of a body that is taken for the whole of it.
+TEST_CASE("an answer whose body is cut after any byte is broken") {
+  const std::string event_type = "Content-Type: text/event-stream\r\n";
+  for (const std::string& type : {std::string(), event_type}) {
+    const std::vector<std::pair<std::string, std::string>> answers = {
+        {"HTTP/1.1 200 OK\r\n" + type + "Content-Length: 12\r\n\r\n", "data: four\n\n"},
+        {"HTTP/1.1 200 OK\r\n" + type + "Transfer-Encoding: chunked\r\n\r\n",
+         "c;x=y\r\ndata: four\n\n\r\n3\r\n: c\r\n0\r\nTrailer: 1\r\n\r\n"},
+    };
+    for (const auto& answer : answers) {
+      for (std::size_t size = 0; size < answer.second.size(); ++size) {
+        const std::string sent = answer.first + answer.second.substr(0, size);
+        CAPTURE(sent);
+        CHECK(CallWithAnswer(sent).end == HttpCallEnd::kReset);
+      }
+      const CallSaw whole = CallWithAnswer(answer.first + answer.second);
+      CHECK(whole.end == HttpCallEnd::kComplete);
+      CHECK(whole.status == 200);
+      CHECK(whole.body.starts_with("data: four\n\n"));
+    }
+  }
+}
+
+TEST_CASE("an event stream that ends with its connection is whole only after a whole event") {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+  const std::string events = "id: 1\ndata: a\n\ndata: b\n\n";
+  for (std::size_t size = 1; size <= events.size(); ++size) {
+    const std::string sent = events.substr(0, size);
+    CAPTURE(sent);
+    const bool is_whole = sent.ends_with("\n\n");
+    CHECK(CallWithAnswer(head + sent).end ==
+          (is_whole ? HttpCallEnd::kComplete : HttpCallEnd::kReset));
+  }
+}
+
+TEST_CASE("an answer with a malformed head or an ambiguous length is broken") {
+  for (const std::string sent :
+       {"HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\nContent-Length: 4\n\nSigned: 1\r\n\r\ngood",
+        "HTTP/1.1 200 OK\r\nA: 1\r\n folded\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\ngood",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\ngood"}) {
+    CAPTURE(sent);
+    const CallSaw saw = CallWithAnswer(sent);
+    CHECK(saw.end == HttpCallEnd::kReset);
+    CHECK(saw.status == 0);
+  }
+}
+
+TEST_CASE("a head that comes in two pieces is one head") {
+  fakes::RawUpstream server([](const fakes::RawCall& call) {
+    call.Write("HTTP/1.1 200 OK\r\nContent-Len");
+    call.Write("gth: 4\r\n\r\ngood");
+  });
+  HttpClient client(server.Address(), {});
+  CHECK(BodyOf(client, "/a") == "good");
+}
+
 }  // namespace
 }  // namespace masticrill::net
--- a/test/net/http_message_test.cc
+++ b/test/net/http_message_test.cc
@@ -86,6 +86,42 @@
   }
 }
 
+// Guards against a head that ends for its reader before the empty line with which it ends on the
+// connection: the fields behind that place, the length among them, were dropped.
+TEST_CASE("a head with a bare line feed or anything behind its empty line is refused") {
+  const std::string request = "POST / HTTP/1.1\r\nA: 1\r\nContent-Length: 4\r\n\r\n";
+  const std::string answer = "HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 4\r\n\r\n";
+  CHECK(ReadRequest(request));
+  CHECK(ReadAnswer(answer));
+  for (std::size_t place = 0; place < request.size(); ++place) {
+    if (request[place] == '\r') {
+      CAPTURE(place);
+      CHECK_FALSE(ReadRequest(std::string(request).erase(place, 1)));
+    }
+  }
+  for (std::size_t place = 0; place < answer.size(); ++place) {
+    if (answer[place] == '\r') {
+      CAPTURE(place);
+      CHECK_FALSE(ReadAnswer(std::string(answer).erase(place, 1)));
+    }
+  }
+  CHECK_FALSE(ReadAnswer("HTTP/1.1 200 OK\r\nA: 1\n\nContent-Length: 4\r\n\r\n"));
+  CHECK_FALSE(ReadRequest("POST / HTTP/1.1\r\nA: 1\r\n\r\nContent-Length: 4\r\n\r\n"));
+}
+
+TEST_CASE("a status line that ends after its version is malformed") {
+  for (const std::string block : {"HTTP/1.1\r\n\r\n", "HTTP/1.1 \r\n\r\n", "HTTP/1.1 20"}) {
+    CAPTURE(block);
+    const ErrorKind kind = HandleErrors(
+        [&]() -> Result<ErrorKind> {
+          BOOST_LEAF_CHECK(ParseAnswerHead(block));
+          return ErrorKind::kInternal;
+        },
+        [](const Error& error) { return error.kind; });
+    CHECK(kind == ErrorKind::kMalformedMessage);
+  }
+}
+
 TEST_CASE("a body whose length two readers could read in two ways is refused") {
   CHECK(FramingOf({}) == BodyFraming::kNone);
   CHECK(FramingOf({{"Content-Length", "5"}}) == BodyFraming::kLength);
