Read a head to the empty line on which its reader and its sender agree

Callers could get an answer of another length than the upstream's: a line that ends with a bare line feed ended the reader's view of the head, and the fields behind it, the length among them, were dropped. A request could hide fields in the same way. A status line without a status was read beyond its end and refused as an unknown error.

Class of fault: a message whose end two readers see at different places. Lines end with CR LF, and a head is refused unless the first empty line is its last. The search for that line exists once.

--- a/include/masticrill/net/http_message.h
+++ b/include/masticrill/net/http_message.h
@@ -39,6 +39,9 @@
   friend bool operator==(const AnswerHead&, const AnswerHead&) = default;
 };
 
+/// The position after the empty line that ends a head; npos while the head is incomplete.
+std::size_t FindHeadEnd(std::string_view bytes);
+
 /// Reads the block of start line and header fields, with the empty line at its end. Fails with
 /// kMalformedMessage.
 Result<RequestHead> ParseRequestHead(std::string_view block);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -20,12 +20,6 @@
 /// callers send the next request right after an answer or not at all.
 constexpr Duration kIdleMargin = milliseconds(500);
 
-std::size_t FindHeadEnd(std::string_view bytes) {
-  constexpr std::string_view kEmptyLine = "\r\n\r\n";
-  const std::size_t end = bytes.find(kEmptyLine);
-  return end == std::string_view::npos ? end : end + kEmptyLine.size();
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(net::SocketStream socket, std::function<CallerLimits()> limits,
@@ -90,7 +84,7 @@
   const TimePoint read_by = this->clock.Now() + Duration(current.header_timeout);
   while (true) {
     const std::string_view bytes = this->socket.Buffered();
-    const std::size_t end = FindHeadEnd(bytes);
+    const std::size_t end = net::FindHeadEnd(bytes);
     const std::size_t size = end == std::string_view::npos ? bytes.size() : end;
     if (size > current.max_header_bytes) {
       return ReadResult::kTooLarge;
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -24,13 +24,6 @@
   return AttemptEnd::kBroken;
 }
 
-/// The position after the empty line that ends a header; npos when the header is incomplete.
-std::size_t FindHeadEnd(std::string_view bytes) {
-  constexpr std::string_view kEmptyLine = "\r\n\r\n";
-  const std::size_t end = bytes.find(kEmptyLine);
-  return end == std::string_view::npos ? end : end + kEmptyLine.size();
-}
-
 constexpr int kFirstFinalStatus = 200;
 
 bool IsSuccess(int status) {
@@ -186,7 +179,7 @@
                                         const AttemptTimes& times) {
   while (true) {
     const std::string_view bytes = this->stream->Buffered();
-    if (const std::size_t end = FindHeadEnd(bytes); end != std::string_view::npos) {
+    if (const std::size_t end = net::FindHeadEnd(bytes); end != std::string_view::npos) {
       block = std::string(bytes.substr(0, end));
       this->stream->Consume(end);
       return AttemptEnd::kAnswered;
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -101,14 +101,15 @@
   });
 }
 
-/// Takes the next line, without its end, off the front of a block.
-std::string_view TakeLine(std::string_view& block) {
+/// Takes the next line, without its end, off the front of a block. Absent where no line ends with a
+/// carriage return and a line feed: other ends are read in different ways by different readers.
+std::optional<std::string_view> TakeLine(std::string_view& block) {
   const std::size_t end = block.find('\n');
-  std::string_view line = block.substr(0, end);
-  block.remove_prefix(end == std::string_view::npos ? block.size() : end + 1);
-  if (line.ends_with('\r')) {
-    line.remove_suffix(1);
+  if (end == std::string_view::npos || end == 0 || block[end - 1] != '\r') {
+    return std::nullopt;
   }
+  const std::string_view line = block.substr(0, end - 1);
+  block.remove_prefix(end + 1);
   return line;
 }
 
@@ -116,19 +117,20 @@
 /// values over 8 KiB, so what is passed on would differ from what came.
 Result<std::vector<HeaderField>> ReadFields(std::string_view block) {
   std::vector<HeaderField> fields;
-  while (true) {
-    const std::string_view line = TakeLine(block);
-    if (line.empty()) {
+  while (const std::optional<std::string_view> line = TakeLine(block)) {
+    if (line->empty() && block.empty()) {
       return fields;
     }
-    const std::size_t colon = line.find(':');
-    const std::string_view name = line.substr(0, colon);
-    if (colon == std::string_view::npos || !IsToken(name) || HasControlByte(line)) {
-      return Fail(ErrorKind::kMalformedMessage,
-                  "A header field is malformed. Write each as Name: value on one line.");
+    const std::size_t colon = line->find(':');
+    const std::string_view name = line->substr(0, colon);
+    if (colon == std::string_view::npos || !IsToken(name) || HasControlByte(*line)) {
+      break;
     }
-    fields.push_back({std::string(name), std::string(Trim(line.substr(colon + 1)))});
+    fields.push_back({std::string(name), std::string(Trim(line->substr(colon + 1)))});
   }
+  return Fail(ErrorKind::kMalformedMessage,
+              "A header field is malformed. Write each as Name: value on one line, and end each "
+              "line with CR LF.");
 }
 
 bool IsVersion(std::string_view text) { return text == "HTTP/1.1" || text == "HTTP/1.0"; }
@@ -147,8 +149,14 @@
   return FindHeader(this->headers, name);
 }
 
+std::size_t FindHeadEnd(std::string_view bytes) {
+  constexpr std::string_view kEmptyLine = "\r\n\r\n";
+  const std::size_t end = bytes.find(kEmptyLine);
+  return end == std::string_view::npos ? end : end + kEmptyLine.size();
+}
+
 Result<RequestHead> ParseRequestHead(std::string_view block) {
-  const std::string_view line = TakeLine(block);
+  const std::string_view line = TakeLine(block).value_or("");
   const std::size_t first = line.find(' ');
   const std::size_t last = line.rfind(' ');
   if (first == std::string_view::npos || last == first) {
@@ -173,13 +181,13 @@
   constexpr std::size_t kStatusBytes = 3;
   constexpr int kLowestStatus = 100;
   constexpr int kHighestStatus = 599;
-  const std::string_view line = TakeLine(block);
+  const std::string_view line = TakeLine(block).value_or("");
   const std::string_view version = line.substr(0, kVersionBytes);
-  const std::string_view digits =
-      line.size() > kVersionBytes ? line.substr(kVersionBytes + 1, kStatusBytes) : "";
+  const std::string_view rest = line.substr(version.size());
+  const std::string_view digits = rest.starts_with(' ') ? rest.substr(1, kStatusBytes) : "";
   int status = 0;
   const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), status);
-  if (!IsVersion(version) || line.at(kVersionBytes) != ' ' || error != std::errc() ||
+  if (!IsVersion(version) || digits.size() != kStatusBytes || error != std::errc() ||
       stop != digits.data() + digits.size() || status < kLowestStatus || status > kHighestStatus) {
     return Fail(ErrorKind::kMalformedMessage, "The answer's status line is malformed.");
   }
