--- a/include/masticrill/net/socket_stream.h
+++ b/include/masticrill/net/socket_stream.h
@@ -57,6 +57,9 @@
   void FinishWriting(TimePoint deadline);
   /// Ends the connection. With `reset` the peer sees at once that it was cut.
   void Close(bool reset = false);
+  /// Ends both directions, so that an operation in progress fails. May be called by another thread
+  /// while the stream exists and is not closed.
+  void Interrupt();
 
  private:
   struct State;
--- a/src/net/socket_stream.cc
+++ b/src/net/socket_stream.cc
@@ -244,4 +244,6 @@
   }
 }
 
+void SocketStream::Interrupt() { ::shutdown(this->state->Descriptor(), SHUT_RDWR); }
+
 }  // namespace masticrill::net
