--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -175,7 +175,8 @@
   gateway::CallSettings settings;
   std::atomic<gateway::StopPhase> phase = gateway::StopPhase::kServing;
   std::atomic<bool> lease_valid = true;
-  std::optional<TimePoint> ends_at;
+  /// When this node ends at the latest; the greatest time while it is not stopping.
+  std::atomic<TimePoint> ends_at = TimePoint::max();
   gateway::UpstreamPool pool{gateway::PoolSettings{.own_domain = FailureDomainId("home")},
                              Random(1)};
   gateway::GatewayMetrics metrics;
@@ -186,6 +187,11 @@
   gateway::PromptGuard prompts;
 
  private:
+  std::optional<TimePoint> EndsAt() const {
+    const TimePoint end = this->ends_at;
+    return end == TimePoint::max() ? std::nullopt : std::optional(end);
+  }
+
   gateway::RouteTablePtr Table() {
     const std::scoped_lock lock(this->table_mutex);
     return this->table;
@@ -211,7 +217,7 @@
             nullptr, this->Table(), this->lease_valid ? TimePoint::max() : TimePoint::min()});
       },
       [](TimePoint) {},
-      [this] { return this->ends_at; },
+      [this] { return this->EndsAt(); },
       [this] { return this->phase.load(); },
       active};
   Poco::Net::ServerSocket listener{Poco::Net::SocketAddress("127.0.0.1:0")};
