Hand over only what can be answered before a planned stop ends, and end the rest in time

Callers whose request came late in a stop, lasted longer than it or came slowly were cut without an answer when the process ended, requests among them that must not run twice.

Cause: only streams were asked, once, whether they can end before the process; nothing ended a wait at the end of a stop. Class of fault: a bound that is known and not enforced where work is taken and where it is waited for.

A stop now has a time by which all answers must be out. Before each hand-over a request is asked whether it fits: with its longest time where it must not run twice, with its probable time otherwise; one that does not fit is refused as not run. Waits for upstreams, for capacity and for the rest of a request end at that time: with 503 where nothing was handed over, with 502 where it may have run, with a reset where the answer has begun. A wait notices a stop that begins meanwhile.

--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -49,6 +49,12 @@
   /// The Retry-After of a request that a stopping node refused; the caller then reaches another
   /// one.
   milliseconds retry_after_stopping{20};
+  /// How long before the end of a planned stop the requests in progress get their end, so that it
+  /// still reaches their callers.
+  milliseconds stop_margin{400};
+  /// How often a waiting request checks whether a planned stop has begun, unless it wakes more
+  /// often.
+  milliseconds stop_check{1000};
   /// How long a request waits for the first lease after the start of this process: a share of the
   /// time that its caller waits, and the upper limit.
   double lease_wait_share = 0.25;
--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -183,7 +183,7 @@
   this->stream_type = ContentType(head);
   this->slot.Reach(CallStage::kAnswering);
   return this->caller.Begin(head.status, net::WithoutConnectionFields(head.headers),
-                            this->deadline);
+                            this->WaitUntil());
 }
 
 bool CallRunner::ContinuesStream(const net::AnswerHead& head) const {
@@ -203,7 +203,7 @@
     }
     if (!events_now.empty()) {
       if ((!this->caller.Begun() && !this->BeginStream(attempt)) ||
-          !this->caller.WritePart(events_now, this->deadline)) {
+          !this->caller.WritePart(events_now, this->WaitUntil())) {
         return this->OnEnd(attempt, AttemptEnd::kCallerDisconnected);
       }
     }
--- a/src/gateway/call_end.cc
+++ b/src/gateway/call_end.cc
@@ -55,16 +55,16 @@
 }
 
 void CallRunner::Cut(std::string_view reason) {
-  this->caller.Abort();
   this->context.metrics.cut.Add(this->context.phase());
+  this->caller.Abort();
   this->RecordEnd("failed", 0, reason);
 }
 
 ActiveCall CallRunner::Describe() const {
   ActiveCall call;
   call.arrived_at = this->arrived_at;
-  if (const std::optional<TimePoint> ends_at = this->context.ends_at()) {
-    call.stop_left = *ends_at - this->clock.Now();
+  if (const std::optional<TimePoint> answer_by = this->context.answer_by()) {
+    call.stop_left = *answer_by - this->clock.Now();
   }
   return call;
 }
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -32,7 +32,7 @@
 /// Whether the request was given up while its upstream may have gone on with it.
 bool WasGivenUp(AttemptEnd end) {
   return end == AttemptEnd::kCallerDisconnected || end == AttemptEnd::kTimeout ||
-         end == AttemptEnd::kSlow || end == AttemptEnd::kSilent;
+         end == AttemptEnd::kSlow || end == AttemptEnd::kSilent || end == AttemptEnd::kStopping;
 }
 
 /// How long the answer has lasted; -1 before it begins.
@@ -191,23 +191,36 @@
                  this->context.settings.retry_after_no_lease};
 }
 
-std::optional<Refusal> CallRunner::CheckTimeLeft() const {
-  const std::optional<TimePoint> ends_at = this->context.ends_at();
-  const DeclaredService* declared = this->view->table->FindService(this->service);
-  if (!ends_at || this->route->kind != RouteKind::kStream || declared == nullptr) {
-    return std::nullopt;
+Duration CallRunner::TimeNeeded() const {
+  const Duration left = this->deadline - this->clock.Now();
+  if (this->route->kind == RouteKind::kAtMostOnce) {
+    return left;
+  }
+  Duration needed(this->route->latency_target);
+  if (const DeclaredService* declared = this->view->table->FindService(this->service);
+      declared != nullptr && this->route->kind == RouteKind::kStream) {
+    const std::uint64_t events = this->metadata.max_output_tokens / declared->tokens_per_event + 1;
+    needed += this->context.pace.EstimateMaxDuration(this->service, events);
   }
-  const std::uint64_t events = this->metadata.max_output_tokens / declared->tokens_per_event + 1;
-  const Duration needed = Duration(this->route->latency_target) +
-                          this->context.pace.EstimateMaxDuration(this->service, events);
-  if (this->clock.Now() + needed <= *ends_at) {
+  return this->route->kind == RouteKind::kStream ? needed : std::min(needed, left);
+}
+
+std::optional<Refusal> CallRunner::CheckTimeLeft() const {
+  const std::optional<TimePoint> answer_by = this->context.answer_by();
+  // A stream that has begun cannot be refused any more.
+  const Duration needed = this->caller.Begun() ? Duration::zero() : this->TimeNeeded();
+  if (!answer_by || this->clock.Now() + needed <= *answer_by) {
     return std::nullopt;
   }
   return Refusal{RefusalKind::kStopping, Execution::kNotRun,
-                 "This node would probably stop before the stream ends. Use another node.",
+                 "This node is stopping, maybe before the request would end. Use another node.",
                  this->context.settings.retry_after_stopping};
 }
 
+TimePoint CallRunner::WaitUntil() const {
+  return std::min(this->deadline, this->context.answer_by().value_or(this->deadline));
+}
+
 /// Chooses one of the route's services by weight, and the same one for all requests of a session.
 void CallRunner::ChooseService() {
   std::uint64_t total = 0;
@@ -269,7 +282,7 @@
                             this->route->sticky ? SharedPart(this->metadata.prompt) : "",
                             this->EstimateWork(), this->SessionKey()};
   const TimePoint wait_until =
-      std::min(this->deadline, this->LatencyBound(this->context.settings.cold_wait_share));
+      std::min(this->WaitUntil(), this->LatencyBound(this->context.settings.cold_wait_share));
   while (true) {
     const UpstreamPick pick =
         this->context.pool.Pick(query, this->clock.Now(), this->clock.WallNow());
@@ -318,10 +331,12 @@
 /// The time limits of the next attempt. A silent or slow upstream is abandoned only if a retry
 /// elsewhere is granted: otherwise a late answer is better than none.
 AttemptTimes CallRunner::MakeTimes(std::uint32_t attempts_made) {
-  AttemptTimes times{
-      this->deadline, this->deadline, this->context.settings.upstream_silence, {}, [this] {
-        this->slot.Reach(CallStage::kHandedOver);
-      }};
+  AttemptTimes times;
+  times.deadline = this->deadline;
+  times.answer_by = this->deadline;
+  times.max_silence = this->context.settings.upstream_silence;
+  times.stop_by = this->context.answer_by;
+  times.on_hand_over = [this] { this->slot.Reach(CallStage::kHandedOver); };
   if (!this->route->Repeatable()) {
     return times;
   }
@@ -396,6 +411,10 @@
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
     return NextStep::kStop;
   }
+  if (const std::optional<Refusal> refusal = this->CheckTimeLeft()) {
+    this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
+    return NextStep::kStop;
+  }
   const routing::EvidenceTable::WaitId wait =
       this->context.evidence.BeginWait(VersionOf(pick->upstream), this->Group(), this->clock.Now());
   const AttemptEnd end = attempt.Start(this->request, this->MakeAttemptParameters(pick->upstream),
@@ -447,6 +466,12 @@
       this->Refuse(RefusalKind::kDeadlineExceeded,
                    "The upstream did not answer before the request's deadline.");
       return NextStep::kStop;
+    case AttemptEnd::kStopping:
+      this->may_have_run = this->may_have_run || attempt.HandedOver();
+      this->Refuse(RefusalKind::kStopping,
+                   "This node is stopping and could not wait for the upstream's answer.",
+                   this->context.settings.retry_after_stopping);
+      return NextStep::kStop;
     case AttemptEnd::kBroken:
     case AttemptEnd::kSilent:
     case AttemptEnd::kSlow:
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -59,8 +59,8 @@
   /// Waits for the first configuration, which comes with the first lease, until the given time at
   /// the latest. Returns at once when it is there already or no longer expected soon.
   std::function<void(TimePoint)> await_lease;
-  /// When this process ends at the latest; absent while it is not stopping.
-  std::function<std::optional<TimePoint>()> ends_at;
+  /// When every request must have its answer; absent while this process is not stopping.
+  std::function<std::optional<TimePoint>()> answer_by;
   std::function<StopPhase()> phase;
   ActiveCalls& active;
 };
@@ -85,8 +85,13 @@
   std::optional<Refusal> UseNewestView();
   void AwaitLease();
   std::optional<Refusal> CheckLease() const;
-  /// While this process is stopping: refuses a stream that would probably outlast it.
+  /// While this process is stopping: refuses a request that might outlast it.
   std::optional<Refusal> CheckTimeLeft() const;
+  /// How long a hand-over now takes until the end of the answer: at most, for a request that must
+  /// not run twice; probably, for others.
+  Duration TimeNeeded() const;
+  /// When a wait ends that the deadline would end, with regard to a planned stop.
+  TimePoint WaitUntil() const;
   void ChooseService();
   WorkEstimate EstimateWork() const;
   /// The requests with which this one's time to the first token is compared.
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "gateway/caller_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "masticrill/common/log.h"
@@ -11,6 +12,8 @@
 constexpr Logger kLog(LogPart::kGateway);
 /// How often an idle connection checks whether this process is stopping.
 constexpr Duration kIdleCheck = milliseconds(500);
+/// How often a connection whose request comes slowly checks the same.
+constexpr Duration kStopCheck = seconds(1);
 /// How long a write to a caller may take where no deadline of a request applies, and how long the
 /// rest of what the caller sends is read before the connection is closed.
 constexpr Duration kLingerTime = milliseconds(500);
@@ -23,10 +26,13 @@
 }  // namespace
 
 CallerConnection::CallerConnection(net::SocketStream socket, std::function<CallerLimits()> limits,
-                                   std::function<StopPhase()> phase, Handler handler)
+                                   std::function<StopPhase()> phase,
+                                   std::function<std::optional<TimePoint>()> answer_by,
+                                   Handler handler)
     : socket(std::move(socket)),
       limits(std::move(limits)),
       phase(std::move(phase)),
+      answer_by(std::move(answer_by)),
       handler(std::move(handler)) {}
 
 void CallerConnection::Run() {
@@ -79,6 +85,24 @@
   return ReadResult::kRead;
 }
 
+CallerConnection::ReadResult CallerConnection::FillRequest(TimePoint read_by) {
+  while (true) {
+    const std::optional<TimePoint> stop_by = this->answer_by();
+    const TimePoint wait_until =
+        std::min({read_by, this->clock.Now() + kStopCheck, stop_by.value_or(TimePoint::max())});
+    const net::IoEnd end = this->socket.Fill(wait_until);
+    if (end != net::IoEnd::kTimeout) {
+      return end == net::IoEnd::kDone ? ReadResult::kRead : ReadResult::kDisconnected;
+    }
+    if (stop_by && this->clock.Now() >= *stop_by) {
+      return ReadResult::kStopping;
+    }
+    if (this->clock.Now() >= read_by) {
+      return ReadResult::kTooSlow;
+    }
+  }
+}
+
 CallerConnection::ReadResult CallerConnection::ReadHead(const CallerLimits& current,
                                                         net::RequestHead& head) {
   const TimePoint read_by = this->clock.Now() + Duration(current.header_timeout);
@@ -102,9 +126,8 @@
       this->socket.Consume(end);
       return result;
     }
-    const net::IoEnd filled = this->socket.Fill(read_by);
-    if (filled != net::IoEnd::kDone) {
-      return filled == net::IoEnd::kTimeout ? ReadResult::kTooSlow : ReadResult::kDisconnected;
+    if (const ReadResult filled = this->FillRequest(read_by); filled != ReadResult::kRead) {
+      return filled;
     }
   }
 }
@@ -142,9 +165,9 @@
     if (decoder.Done()) {
       return ReadResult::kRead;
     }
-    const net::IoEnd filled = this->socket.Fill(this->clock.Now() + kBodyTimeout);
-    if (filled != net::IoEnd::kDone) {
-      return filled == net::IoEnd::kTimeout ? ReadResult::kTooSlow : ReadResult::kDisconnected;
+    if (const ReadResult filled = this->FillRequest(this->clock.Now() + kBodyTimeout);
+        filled != ReadResult::kRead) {
+      return filled;
     }
   }
 }
@@ -156,6 +179,7 @@
   constexpr int kTimeout = 408;
   constexpr int kBodyTooLarge = 413;
   constexpr int kHeaderTooLarge = 431;
+  constexpr int kUnavailable = 503;
   int status = 0;
   std::string_view message;
   switch (result) {
@@ -172,6 +196,10 @@
       status = kTimeout;
       message = "The request was not received within the time limit.";
       break;
+    case ReadResult::kStopping:
+      status = kUnavailable;
+      message = "This node is stopping. Use another node.";
+      break;
     case ReadResult::kRead:
     case ReadResult::kIdle:
     case ReadResult::kDisconnected:
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -2,6 +2,7 @@
 #define MASTICRILL_GATEWAY_CALLER_CONNECTION_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "gateway/caller_stream.h"
@@ -19,26 +20,31 @@
   using Handler = std::function<void(const net::RequestHead&, const std::string& body,
                                      CallerStream& caller, TimePoint arrived_at)>;
 
-  /// `limits` returns the limits in force, `phase` the phase of a stop of this process.
+  /// `limits` returns the limits in force, `phase` the phase of a stop of this process, `answer_by`
+  /// when every request must have its answer, if such a stop has begun.
   CallerConnection(net::SocketStream socket, std::function<CallerLimits()> limits,
-                   std::function<StopPhase()> phase, Handler handler);
+                   std::function<StopPhase()> phase,
+                   std::function<std::optional<TimePoint>()> answer_by, Handler handler);
 
   /// Returns when the connection has ended.
   void Run();
 
  private:
   /// The result of reading a part of a request.
-  enum class ReadResult { kRead, kIdle, kDisconnected, kTooLarge, kTooSlow, kMalformed };
+  enum class ReadResult { kRead, kIdle, kDisconnected, kTooLarge, kTooSlow, kStopping, kMalformed };
 
   bool ServeNext();
   ReadResult AwaitFirstByte(const CallerLimits& current);
   ReadResult ReadHead(const CallerLimits& current, net::RequestHead& head);
   ReadResult ReadBody(const CallerLimits& current, const net::RequestHead& head, std::string& body);
+  /// Waits for the next bytes of a request, at most until then.
+  ReadResult FillRequest(TimePoint read_by);
   void RefuseAndClose(ReadResult result, bool in_header);
 
   net::SocketStream socket;
   std::function<CallerLimits()> limits;
   std::function<StopPhase()> phase;
+  std::function<std::optional<TimePoint>()> answer_by;
   Handler handler;
   SystemClock clock;
 };
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -107,7 +107,7 @@
                      this->lateness,
                      [this] { return this->View(); },
                      [this](TimePoint until) { this->AwaitLease(until); },
-                     [this] { return this->EndsAt(); },
+                     [this] { return this->AnswerBy(); },
                      [this] { return this->phase.load(); },
                      this->active},
         started_at(this->clock.Now()) {}
@@ -125,7 +125,8 @@
   RequestTurns MakeTurns(const node::LeaseUpdate& news) const;
   GatewayViewPtr View() const;
   void AwaitLease(TimePoint until);
-  std::optional<TimePoint> EndsAt() const;
+  /// When every request must have its answer; absent while this process is not stopping.
+  std::optional<TimePoint> AnswerBy() const;
   CallerLimits Limits() const;
   bool IsReady() const;
   /// Stops accepting and closes the listener, so that callers are refused instead of queued and
@@ -379,11 +380,12 @@
   return this->view;
 }
 
-std::optional<TimePoint> GatewayServer::State::EndsAt() const {
+std::optional<TimePoint> GatewayServer::State::AnswerBy() const {
   if (this->phase == StopPhase::kServing) {
     return std::nullopt;
   }
-  return this->stop_begun_at.load() + this->options.stop_within;
+  return this->stop_begun_at.load() + this->options.stop_within -
+         Duration(this->options.call.stop_margin);
 }
 
 CallerLimits GatewayServer::State::Limits() const {
@@ -410,7 +412,7 @@
   ++this->metrics.connections;
   CallerConnection connection(
       net::SocketStream(socket), [this] { return this->Limits(); },
-      [this] { return this->phase.load(); },
+      [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
       [this](const net::RequestHead& head, const std::string& body, CallerStream& caller,
              TimePoint arrived_at) {
         ++this->metrics.in_flight;
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -53,6 +53,8 @@
       return "slow";
     case AttemptEnd::kTimeout:
       return "timeout";
+    case AttemptEnd::kStopping:
+      return "stopping";
     case AttemptEnd::kCallerDisconnected:
       return "caller_left";
   }
@@ -154,10 +156,14 @@
     if (this->clock.Now() >= times.deadline) {
       return AttemptEnd::kTimeout;
     }
-    TimePoint wait_until = times.deadline;
-    if (times.may_retry_elsewhere) {
-      wait_until = std::min(wait_until, this->clock.Now() + Duration(this->settings.silence_check));
+    const std::optional<TimePoint> stop_by = times.stop_by ? times.stop_by() : std::nullopt;
+    if (stop_by && this->clock.Now() >= *stop_by) {
+      return AttemptEnd::kStopping;
     }
+    const Duration check =
+        times.may_retry_elsewhere ? this->settings.silence_check : this->settings.stop_check;
+    const TimePoint wait_until =
+        std::min({times.deadline, this->clock.Now() + check, stop_by.value_or(TimePoint::max())});
     const net::IoEnd end = this->stream->Fill(wait_until, &caller);
     const TimePoint now = this->clock.Now();
     if (end == net::IoEnd::kDone) {
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -23,10 +23,11 @@
   kNotConnected,  // The connection failed; nothing was handed over.
   kWithheld,      // The upstream no longer wants the request; nothing was handed over.
   kNotRun,        // The upstream states that it did not run the request.
-  kBroken,   // The connection broke, or the bytes received are no valid answer to this request.
-  kSilent,   // The upstream has sent nothing for too long, to this or any other request.
-  kSlow,     // No answer began within the time that the request allows one upstream.
-  kTimeout,  // The request's deadline passed.
+  kBroken,    // The connection broke, or the bytes received are no valid answer to this request.
+  kSilent,    // The upstream has sent nothing for too long, to this or any other request.
+  kSlow,      // No answer began within the time that the request allows one upstream.
+  kTimeout,   // The request's deadline passed.
+  kStopping,  // This process is about to end.
   kCallerDisconnected,
 };
 
@@ -42,6 +43,8 @@
   /// Called before a silent or slow upstream is abandoned: whether the request may be retried
   /// elsewhere. Empty where a retry is ruled out; then only the deadline ends the wait.
   std::function<bool()> may_retry_elsewhere;
+  /// When a planned stop of this process ends the wait; absent while none has begun.
+  std::function<std::optional<TimePoint>()> stop_by;
   /// Called before the first byte of the request is sent.
   std::function<void()> on_hand_over;
 };
