Accept callers with a loop that loses no connection when accepting stops

Callers whose connection had been accepted and waited for a thread, or had been completed by the system, were closed without an answer when a stop closed the listener; and a stop could end before a connection that had been taken from the queue, and not yet counted, was served.

Cause: POCO's TCPServer clears its queue when it stops, closes its listener with what waits there, and counts a connection when its thread begins. Class of fault: work that is accepted and not yet owned by anybody.

A loop of our own counts a connection when it is accepted, serves those that wait in turn, and takes what the system has completed before it closes the listener.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,22 +1,18 @@
 #include "masticrill/gateway/gateway_server.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/Net/TCPServer.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/Net/TCPServerConnectionFactory.h>
-#include <Poco/Net/TCPServerParams.h>
-#include <Poco/ThreadPool.h>
 
 #include <atomic>
 #include <condition_variable>
+#include <exception>
 #include <map>
 #include <mutex>
 #include <utility>
 
 #include "gateway/call_runner.h"
+#include "gateway/call_status.h"
+#include "gateway/caller_acceptor.h"
 #include "gateway/caller_connection.h"
 #include "gateway/load_exchange.h"
 #include "gateway/upstream_list_updater.h"
@@ -32,12 +28,6 @@
 namespace {
 
 constexpr Logger kLog(LogPart::kGateway);
-constexpr int kThreadStackBytes = 128 * 1024;
-/// Connections that wait to be accepted. Any further caller waits a second to repeat its SYN.
-constexpr int kListenBacklog = 512;
-constexpr int kMinThreads = 4;
-/// Idle threads end after this time, in seconds.
-constexpr int kIdleThreadS = 30;
 constexpr int kIncarnationBytes = 8;
 constexpr int kStatusConnections = 8;
 /// Control hosts answer within milliseconds; after this time another one is asked.
@@ -45,29 +35,16 @@
 constexpr Duration kStopPoll = milliseconds(50);
 constexpr double kMsPerSecond = 1000;
 
-/// Passes each accepted connection to a function, on a thread of the server.
-class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory {
+/// Counts one more while it exists.
+class CountedWhile {
  public:
-  using Serve = std::function<void(const Poco::Net::StreamSocket&)>;
-
-  explicit ConnectionFactory(Serve serve) : serve(std::move(serve)) {}
-
-  Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override {
-    return new Connection(socket, this->serve);
-  }
+  explicit CountedWhile(std::atomic<std::int64_t>& count) : count(count) { ++this->count; }
+  ~CountedWhile() { --this->count; }
+  CountedWhile(const CountedWhile&) = delete;
+  CountedWhile& operator=(const CountedWhile&) = delete;
 
  private:
-  class Connection : public Poco::Net::TCPServerConnection {
-   public:
-    Connection(const Poco::Net::StreamSocket& socket, const Serve& serve)
-        : Poco::Net::TCPServerConnection(socket), serve(serve) {}
-    void run() override { this->serve(this->socket()); }
-
-   private:
-    const Serve& serve;
-  };
-
-  Serve serve;
+  std::atomic<std::int64_t>& count;
 };
 
 double LeaseLeftSeconds(const GatewayView& view, TimePoint now) {
@@ -129,10 +106,10 @@
   std::optional<TimePoint> AnswerBy() const;
   CallerLimits Limits() const;
   bool IsReady() const;
-  /// Stops accepting and closes the listener, so that callers are refused instead of queued and
-  /// lost.
-  void StopAccepting();
   void Serve(const Poco::Net::StreamSocket& socket);
+  /// Handles one request.
+  void Handle(const net::RequestHead& head, const std::string& body, CallerStream& caller,
+              TimePoint arrived_at);
   /// Logs and counts the requests that the end of this process cuts off.
   void RecordCutRequests();
   std::string MetricsText() const;
@@ -162,14 +139,10 @@
   std::unique_ptr<node::LeaseClient> leases;
   std::unique_ptr<UpstreamListUpdater> list_updater;
   std::unique_ptr<LoadExchange> load_exchange;
-  std::unique_ptr<Poco::ThreadPool> threads;
-  Poco::Net::ServerSocket listener;
-  std::unique_ptr<Poco::Net::TCPServer> server;
-  std::string caller_address;
   std::unique_ptr<net::HttpServer> status_server;
   std::mutex stop_mutex;
   bool stopped = false;
-  bool accepting_stopped = false;
+  std::unique_ptr<CallerAcceptor> acceptor;
 };
 
 Result<void> GatewayServer::State::Start(UpstreamListReader read_list) {
@@ -218,20 +191,9 @@
 
 Result<void> GatewayServer::State::StartServers() {
   try {
-    this->listener = Poco::Net::ServerSocket(Poco::Net::SocketAddress(this->options.caller_address),
-                                             kListenBacklog);
-    this->caller_address = this->listener.address().toString();
-    this->threads = std::make_unique<Poco::ThreadPool>(
-        kMinThreads, this->options.max_connections + 1, kIdleThreadS, kThreadStackBytes);
-    Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
-    params->setMaxThreads(this->options.max_connections);
-    params->setMaxQueued(kListenBacklog);
-    params->setThreadIdleTime(Poco::Timespan(kIdleThreadS, 0));
-    this->server = std::make_unique<Poco::Net::TCPServer>(
-        new ConnectionFactory(
-            [this](const Poco::Net::StreamSocket& accepted) { this->Serve(accepted); }),
-        *this->threads, this->listener, params);
-    this->server->start();
+    this->acceptor = std::make_unique<CallerAcceptor>(
+        this->options.caller_address, this->options.max_connections, this->metrics.connections,
+        [this](const Poco::Net::StreamSocket& accepted) { this->Serve(accepted); });
   } catch (const Poco::Exception& exception) {
     return Fail(ErrorKind::kUnavailable, "Cannot listen on " + this->options.caller_address + " (" +
                                              exception.displayText() +
@@ -315,7 +277,7 @@
   this->view = std::make_shared<const GatewayView>(GatewayView{configuration, table, valid_until});
 }
 
-/// Waits for the first configuration, which comes with the first lease.
+/// Waits for the first configuration, which comes with the first lease, or for a stop.
 void GatewayServer::State::AwaitLease(TimePoint until) {
   std::unique_lock lock(this->view_mutex);
   const TimePoint expected_by = this->started_at + this->options.first_lease_within;
@@ -399,28 +361,19 @@
          current->HasLease(this->clock.Now());
 }
 
-void GatewayServer::State::StopAccepting() {
-  if (this->server == nullptr || this->accepting_stopped) {
-    return;
-  }
-  this->accepting_stopped = true;
-  this->server->stop();
-  this->listener.close();
-}
-
 void GatewayServer::State::Serve(const Poco::Net::StreamSocket& socket) {
-  ++this->metrics.connections;
   CallerConnection connection(
       net::SocketStream(socket), [this] { return this->Limits(); },
       [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
       [this](const net::RequestHead& head, const std::string& body, CallerStream& caller,
-             TimePoint arrived_at) {
-        ++this->metrics.in_flight;
-        CallRunner(this->call_context, head, body, caller, arrived_at).Run();
-        --this->metrics.in_flight;
-      });
+             TimePoint arrived_at) { this->Handle(head, body, caller, arrived_at); });
   connection.Run();
-  --this->metrics.connections;
+}
+
+void GatewayServer::State::Handle(const net::RequestHead& head, const std::string& body,
+                                  CallerStream& caller, TimePoint arrived_at) {
+  const CountedWhile counted(this->metrics.in_flight);
+  CallRunner(this->call_context, head, body, caller, arrived_at).Run();
 }
 
 void GatewayServer::State::RecordCutRequests() {
@@ -508,7 +461,7 @@
   return gateway;
 }
 
-std::string GatewayServer::CallerAddress() const { return this->state->caller_address; }
+std::string GatewayServer::CallerAddress() const { return this->state->acceptor->Address(); }
 
 std::string GatewayServer::StatusAddress() const { return this->state->status_server->Address(); }
 
@@ -527,13 +480,17 @@
   kLog.Info("The gateway is stopping.", {{"in_flight", server_state.metrics.in_flight.load()}});
   const TimePoint begin = server_state.clock.Now();
   server_state.stop_begun_at = begin;
-  server_state.phase = StopPhase::kStopping;
+  {
+    const std::scoped_lock view_lock(server_state.view_mutex);
+    server_state.phase = StopPhase::kStopping;
+  }
+  server_state.view_changed.notify_all();
   std::mutex mutex;
   std::condition_variable never;
   std::unique_lock wait(mutex);
-  if (server_state.server != nullptr && server_state.View() != nullptr) {
+  if (server_state.acceptor != nullptr && server_state.View() != nullptr) {
     never.wait_for(wait, server_state.options.stop_accepting_after);
-    server_state.StopAccepting();
+    server_state.acceptor->Stop();
     server_state.phase = StopPhase::kClosing;
     while (server_state.metrics.connections > 0 &&
            server_state.clock.Now() - begin < server_state.options.stop_within) {
@@ -541,7 +498,9 @@
     }
   }
   server_state.phase = StopPhase::kClosing;
-  server_state.StopAccepting();
+  if (server_state.acceptor != nullptr) {
+    server_state.acceptor->Stop();
+  }
   if (server_state.load_exchange != nullptr) {
     server_state.load_exchange->Stop();
   }
--- a/test/gateway/planned_stop_test.cc
+++ b/test/gateway/planned_stop_test.cc
@@ -158,8 +158,8 @@
 
 /// A gateway with one idempotent route to one upstream, under a lease of a control host.
 std::unique_ptr<GatewayServer> StartGateway(const std::string& control, const std::string& upstream,
-                                            int max_connections) {
-  EdgeProtocol edge = fakes::TestEdge();
+                                            int max_connections,
+                                            EdgeProtocol edge = fakes::TestEdge()) {
   edge.read_declaration = [](const std::string&) -> Result<RouteTable> {
     Route route = RouteOf(RouteKind::kIdempotent, milliseconds(20'000), milliseconds(5000));
     route.id = RouteId("route");
