Let a stop wait for the requests of a process that has no configuration yet

A caller whose request waited for the first configuration was cut when the process was stopped at that moment: the stop skipped its whole wait where no configuration had come.

Such a request now ends its wait when the stop begins, with 503, and the stop waits for what has been accepted. Only the time for the load balancer is skipped, since it never knew the process as ready.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -281,8 +281,9 @@
 void GatewayServer::State::AwaitLease(TimePoint until) {
   std::unique_lock lock(this->view_mutex);
   const TimePoint expected_by = this->started_at + this->options.first_lease_within;
-  this->view_changed.wait_until(lock, std::min(until, expected_by),
-                                [this] { return this->view != nullptr; });
+  this->view_changed.wait_until(lock, std::min(until, expected_by), [this] {
+    return this->view != nullptr || this->phase != StopPhase::kServing;
+  });
 }
 
 /// Discards the evidence on services whose roll-out is new: evidence counts from the time at which
@@ -488,8 +489,11 @@
   std::mutex mutex;
   std::condition_variable never;
   std::unique_lock wait(mutex);
-  if (server_state.acceptor != nullptr && server_state.View() != nullptr) {
-    never.wait_for(wait, server_state.options.stop_accepting_after);
+  if (server_state.acceptor != nullptr) {
+    // The load balancer knows a node that has had no configuration yet as not ready.
+    if (server_state.View() != nullptr) {
+      never.wait_for(wait, server_state.options.stop_accepting_after);
+    }
     server_state.acceptor->Stop();
     server_state.phase = StopPhase::kClosing;
     while (server_state.metrics.connections > 0 &&
@@ -498,9 +502,6 @@
     }
   }
   server_state.phase = StopPhase::kClosing;
-  if (server_state.acceptor != nullptr) {
-    server_state.acceptor->Stop();
-  }
   if (server_state.load_exchange != nullptr) {
     server_state.load_exchange->Stop();
   }
