--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -107,7 +107,7 @@
   CallerLimits Limits() const;
   bool IsReady() const;
   void Serve(const Poco::Net::StreamSocket& socket);
-  /// Handles one request.
+  /// Handles one request; one that fails by an exception is answered, too.
   void Handle(const net::RequestHead& head, const std::string& body, CallerStream& caller,
               TimePoint arrived_at);
   /// Logs and counts the requests that the end of this process cuts off.
@@ -373,8 +373,22 @@
 
 void GatewayServer::State::Handle(const net::RequestHead& head, const std::string& body,
                                   CallerStream& caller, TimePoint arrived_at) {
+  constexpr int kInternalError = 500;
   const CountedWhile counted(this->metrics.in_flight);
-  CallRunner(this->call_context, head, body, caller, arrived_at).Run();
+  try {
+    CallRunner(this->call_context, head, body, caller, arrived_at).Run();
+  } catch (const std::exception& exception) {
+    kLog.Error("A request failed by an exception. Report this bug.",
+               {{"target", head.target}, {"cause", exception.what()}});
+    this->metrics.refusals.Add(RefusalKind::kInternal);
+    if (caller.Begun()) {
+      caller.Abort();
+      return;
+    }
+    caller.SendWhole(kInternalError, {{"Content-Type", "text/plain"}},
+                     "The request failed by an error of this node.",
+                     this->clock.Now() + kFinalAnswerGrace);
+  }
 }
 
 void GatewayServer::State::RecordCutRequests() {
--- a/test/gateway/planned_stop_test.cc
+++ b/test/gateway/planned_stop_test.cc
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -267,5 +268,23 @@
   stopper.join();
 }
 
+// Guards against an exception that closes a connection without an answer and leaves it counted, so
+// that a stop waits for it.
+TEST_CASE("a request that fails by an exception is answered, and its connection goes on") {
+  fakes::FakeControlHost control;
+  RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
+  EdgeProtocol edge = fakes::TestEdge();
+  edge.read_call = [](const net::RequestHead&) -> CallMetadata {
+    throw std::runtime_error("a field that cannot be read");
+  };
+  const auto gateway = StartGateway(control.Address(), upstream.Address(), 4, edge);
+  REQUIRE(gateway != nullptr);
+  for (int request = 0; request < 3; ++request) {
+    CHECK(GatewayPath::Read(*SendTo(gateway->CallerAddress())).Status() == 500);
+  }
+  CHECK(fakes::WaitUntil([&] { return HasMetric(*gateway, "masticrill_gateway_connections 0"); }));
+  CHECK(HasMetric(*gateway, "masticrill_gateway_in_flight 0"));
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
