Test requests that cross the close of a caller's connection; known to fail

Two requests sent together, or the second during the answer to the first, with a stop that begins in between: the second is read or waits in the socket and is dropped (1 of 2 reaches the upstream, in all four rows). A request that arrives right before an idle connection is closed is dropped without an answer. One that crosses the close of an idle connection is read after the half-close, so its caller cannot tell that it was not handled: no byte of it was left unread.

--- a/test/gateway/caller_connection_test.cc
+++ b/test/gateway/caller_connection_test.cc
@@ -1,13 +1,20 @@
 #include "gateway/caller_connection.h"
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <atomic>
+#include <functional>
+#include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include "fakes/gateway_caller.h"
 #include "fakes/raw_upstream.h"
+#include "fakes/wait_until.h"
 
 namespace masticrill::gateway {
 namespace {
@@ -37,6 +44,49 @@
   return bytes;
 }
 
+/// A connection that is served on a thread of its own, whose receive queue can be looked at. The
+/// caller sees the end of what is sent to it, but not that the descriptor is closed.
+class ObservedConnection {
+ public:
+  /// `phase` is called by the connection's thread.
+  explicit ObservedConnection(std::function<StopPhase()> phase) {
+    net::IoEnd end = net::IoEnd::kDone;
+    this->caller = net::SocketStream::Connect(this->listener.address().toString(),
+                                              SystemClock().Now() + seconds(10), nullptr, end);
+    Poco::Net::StreamSocket accepted = this->listener.acceptConnection();
+    this->observer = ::dup(static_cast<int>(accepted.impl()->sockfd()));
+    this->thread = std::thread([this, accepted, phase = std::move(phase)] {
+      CallerConnection connection(
+          net::SocketStream(accepted), [] { return CallerLimits{}; }, phase,
+          [] { return std::nullopt; },
+          [](const net::RequestHead&, const std::string&, CallerStream& stream, TimePoint) {
+            stream.SendWhole(200, {}, "ok", SystemClock().Now() + seconds(10));
+          });
+      connection.Run();
+      this->ended = true;
+    });
+  }
+  ~ObservedConnection() {
+    this->thread.join();
+    ::close(this->observer);
+  }
+  ObservedConnection(const ObservedConnection&) = delete;
+  ObservedConnection& operator=(const ObservedConnection&) = delete;
+
+  bool HasUnreadBytes() const {
+    char byte = 0;
+    return ::recv(this->observer, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
+  std::unique_ptr<net::SocketStream> caller;
+  std::atomic<bool> ended = false;
+
+ private:
+  Poco::Net::ServerSocket listener{Poco::Net::SocketAddress("127.0.0.1:0")};
+  int observer = -1;
+  std::thread thread;
+};
+
 TEST_CASE("a connection serves several requests in turn, including pipelined ones") {
   RawUpstream upstream([](const RawCall& call) { call.Write(kAnswer); });
   GatewayPath path(IdempotentRoute());
@@ -105,5 +155,64 @@
   CHECK(saw.end == net::IoEnd::kClosed);
 }
 
+// Guards against requests that were read together with the one before, or arrived during it, and
+// are dropped when a stop has begun meanwhile.
+TEST_CASE("a request that has arrived when the answer before it ends is answered during a stop") {
+  for (const StopPhase phase : {StopPhase::kStopping, StopPhase::kClosing}) {
+    for (const bool is_pipelined : {true, false}) {
+      CAPTURE(ToString(phase));
+      CAPTURE(is_pipelined);
+      std::unique_ptr<net::SocketStream> caller;
+      GatewayPath* stopping = nullptr;
+      RawUpstream upstream([&](const RawCall& call) {
+        if (stopping->phase.exchange(phase) == StopPhase::kServing && !is_pipelined) {
+          caller->Write(kGet, SystemClock().Now() + seconds(10));
+        }
+        call.Write(kAnswer);
+      });
+      GatewayPath path(IdempotentRoute());
+      stopping = &path;
+      path.SetUpstreams({upstream.Address()});
+      caller = path.Connect();
+      caller->Write(is_pipelined ? kGet + kGet : kGet, SystemClock().Now() + seconds(10));
+      const fakes::CallerSaw saw = GatewayPath::Read(*caller);
+      CHECK(upstream.Calls() == 2);
+      const std::size_t second = saw.bytes.find("HTTP/1.1 200", 1);
+      CHECK(second != std::string::npos);
+      CHECK(saw.bytes.find("Connection: close", second) != std::string::npos);
+      CHECK(saw.bytes.ends_with("ok"));
+      CHECK(saw.end == net::IoEnd::kClosed);
+    }
+  }
+}
+
+// Guards against an idle connection that is closed over a request that has just arrived.
+TEST_CASE("a request that arrives right before an idle connection is closed is answered") {
+  const ObservedConnection* observed = nullptr;
+  std::atomic<bool> connected = false;
+  bool is_sent = false;
+  ObservedConnection connection([&] {
+    fakes::WaitUntil([&] { return connected.load(); });
+    if (!std::exchange(is_sent, true)) {
+      observed->caller->Write(kGet, SystemClock().Now() + seconds(10));
+      fakes::WaitUntil([&] { return observed->HasUnreadBytes(); });
+    }
+    return StopPhase::kClosing;
+  });
+  observed = &connection;
+  connected = true;
+  CHECK(ReadUntil(*connection.caller, "ok").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a request that crosses the close and is read all the same: its caller cannot tell
+// that it was not handled.
+TEST_CASE("nothing more is read from an idle connection that is closed") {
+  ObservedConnection connection([] { return StopPhase::kClosing; });
+  REQUIRE(fakes::WaitUntil([&] { return connection.ended || connection.caller->PeerLeft(); }));
+  connection.caller->Write(kGet, SystemClock().Now() + seconds(10));
+  REQUIRE(fakes::WaitUntil([&] { return connection.ended.load(); }));
+  CHECK(fakes::WaitUntil([&] { return connection.HasUnreadBytes(); }));
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
