Answer the requests that have arrived on a connection before a stop closes it

Callers saw a connection close without an answer to the request they had sent right after, or together with, the one before. Where a stop began during an answer whose head did not announce the close, the connection was closed by the phase alone, with what had been read or had arrived dropped. It is closed now only when nothing of a further request is here; the answer to that one announces the close, so at most the requests that are already here follow.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -63,8 +63,14 @@
   CallerStream caller(this->socket, head, keep_open);
   this->handler(head, body, caller, arrived_at);
   // If the stop began after the head of a long answer was sent, the head does not announce that the
-  // connection ends; it is closed all the same.
-  return caller.CanReuseConnection() && this->phase() == StopPhase::kServing;
+  // connection ends; it is closed all the same, but not over a request that has arrived.
+  return caller.CanReuseConnection() &&
+         (this->phase() == StopPhase::kServing || this->HasArrived());
+}
+
+bool CallerConnection::HasArrived() {
+  return !this->socket.Buffered().empty() ||
+         this->socket.Fill(this->clock.Now()) == net::IoEnd::kDone;
 }
 
 /// Waits for a request until the idle timeout or until this process closes idle connections.
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -33,7 +33,10 @@
   /// The result of reading a part of a request.
   enum class ReadResult { kRead, kIdle, kDisconnected, kTooLarge, kTooSlow, kStopping, kMalformed };
 
+  /// Returns whether the connection stays open.
   bool ServeNext();
+  /// Whether a part of the next request is here. Does not wait.
+  bool HasArrived();
   ReadResult AwaitFirstByte(const CallerLimits& current);
   ReadResult ReadHead(const CallerLimits& current, net::RequestHead& head);
   ReadResult ReadBody(const CallerLimits& current, const net::RequestHead& head, std::string& body);
