Read nothing more from a caller's connection that is closed without notice

An idle connection, and one that a stop closes after an answer whose head did not announce it, are now closed without reading further, so that the system resets a request that crosses the close; a connection is asked once more for bytes right before. After an answer that announces the close, and after a refusal, the rest is read as before, so that the answer is not lost to a reset.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -36,36 +36,43 @@
       handler(std::move(handler)) {}
 
 void CallerConnection::Run() {
-  while (this->ServeNext()) {
+  NextStep step = NextStep::kServeNext;
+  while (step == NextStep::kServeNext) {
+    step = this->ServeNext();
+  }
+  if (step == NextStep::kFinishAnswer) {
+    this->socket.FinishWriting(this->clock.Now() + kLingerTime);
   }
-  this->socket.FinishWriting(this->clock.Now() + kLingerTime);
   this->socket.Close();
 }
 
-bool CallerConnection::ServeNext() {
+CallerConnection::NextStep CallerConnection::ServeNext() {
   const CallerLimits current = this->limits();
   if (this->AwaitFirstByte(current) != ReadResult::kRead) {
-    return false;
+    return NextStep::kCloseUnread;
   }
   net::RequestHead head;
   if (const ReadResult result = this->ReadHead(current, head); result != ReadResult::kRead) {
     this->RefuseAndClose(result, true);
-    return false;
+    return NextStep::kFinishAnswer;
   }
   const TimePoint arrived_at = this->clock.Now();
   std::string body;
   if (const ReadResult result = this->ReadBody(current, head, body); result != ReadResult::kRead) {
     this->RefuseAndClose(result, false);
-    return false;
+    return NextStep::kFinishAnswer;
   }
   const bool keep_open =
       this->phase() == StopPhase::kServing && !net::WantsClose(head.headers, head.http_1_1);
   CallerStream caller(this->socket, head, keep_open);
   this->handler(head, body, caller, arrived_at);
+  if (!caller.CanReuseConnection()) {
+    return NextStep::kFinishAnswer;
+  }
   // If the stop began after the head of a long answer was sent, the head does not announce that the
   // connection ends; it is closed all the same, but not over a request that has arrived.
-  return caller.CanReuseConnection() &&
-         (this->phase() == StopPhase::kServing || this->HasArrived());
+  return this->phase() == StopPhase::kServing || this->HasArrived() ? NextStep::kServeNext
+                                                                    : NextStep::kCloseUnread;
 }
 
 bool CallerConnection::HasArrived() {
@@ -85,7 +92,8 @@
       return ReadResult::kDisconnected;
     }
     if (this->clock.Now() >= idle_until || this->phase() == StopPhase::kClosing) {
-      return ReadResult::kIdle;
+      // Bytes may have come since the wait ended.
+      return this->HasArrived() ? ReadResult::kRead : ReadResult::kIdle;
     }
   }
   return ReadResult::kRead;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -33,8 +33,14 @@
   /// The result of reading a part of a request.
   enum class ReadResult { kRead, kIdle, kDisconnected, kTooLarge, kTooSlow, kStopping, kMalformed };
 
-  /// Returns whether the connection stays open.
-  bool ServeNext();
+  /// What follows on the connection.
+  enum class NextStep {
+    kServeNext,
+    kFinishAnswer,  // The caller knows that no further answer comes: the rest is read and dropped.
+    kCloseUnread,   // Nothing more is read: a request that comes now is seen to be unread.
+  };
+
+  NextStep ServeNext();
   /// Whether a part of the next request is here. Does not wait.
   bool HasArrived();
   ReadResult AwaitFirstByte(const CallerLimits& current);
--- a/test/gateway/caller_connection_test.cc
+++ b/test/gateway/caller_connection_test.cc
@@ -214,5 +214,18 @@
   CHECK(fakes::WaitUntil([&] { return connection.HasUnreadBytes(); }));
 }
 
+// Guards against the same after an answer whose head was sent before the stop began.
+TEST_CASE("nothing more is read from a connection that is closed after an answer in a stop") {
+  int asked = 0;
+  ObservedConnection connection(
+      [&] { return asked++ == 0 ? StopPhase::kServing : StopPhase::kStopping; });
+  connection.caller->Write(kGet, SystemClock().Now() + seconds(10));
+  CHECK(ReadUntil(*connection.caller, "ok").find("Connection: close") == std::string::npos);
+  REQUIRE(fakes::WaitUntil([&] { return connection.ended || connection.caller->PeerLeft(); }));
+  connection.caller->Write(kGet, SystemClock().Now() + seconds(10));
+  REQUIRE(fakes::WaitUntil([&] { return connection.ended.load(); }));
+  CHECK(fakes::WaitUntil([&] { return connection.HasUnreadBytes(); }));
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
