--- a/test/process/planned_stop_test.cc
+++ b/test/process/planned_stop_test.cc
@@ -386,7 +386,7 @@
 }
 
 // Guards against a stop that waits for a call to another server until the process is killed.
-TEST_CASE("an entry ends within its grace period while its list of upstreams comes slowly") {
+TEST_CASE("processes end within their grace period while the list of upstreams comes slowly") {
   RawUpstream list([](const RawCall& call) {
     const std::string page = Json{{"Instances", Json::array()}, {"Next", "more"}}.dump();
     call.socket.Fill(SystemClock().Now() + milliseconds(500));
@@ -396,6 +396,7 @@
   PlatformHosts fleet(list.Address(), 1, GraceSetting());
   Await("a page of the list", [&] { return list.Calls() > 2; });
   CHECK(StopAsPlatform(*fleet.entries[0]) == 0);
+  CHECK(StopAsPlatform(*fleet.control) == 0);
 }
 
 }  // namespace
