--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -175,6 +175,8 @@
   gateway::CallSettings settings;
   std::atomic<gateway::StopPhase> phase = gateway::StopPhase::kServing;
   std::atomic<bool> lease_valid = true;
+  /// How many of the next requests for the configuration find its lease lapsed.
+  std::atomic<int> lapsed_views = 0;
   /// When this node ends at the latest; the greatest time while it is not stopping.
   std::atomic<TimePoint> ends_at = TimePoint::max();
   gateway::UpstreamPool pool{gateway::PoolSettings{.own_domain = FailureDomainId("home")},
@@ -193,6 +195,14 @@
                                    : std::optional(end - Duration(this->settings.stop_margin));
   }
 
+  bool HasLease() {
+    if (this->lapsed_views > 0) {
+      --this->lapsed_views;
+      return false;
+    }
+    return this->lease_valid;
+  }
+
   gateway::RouteTablePtr Table() {
     const std::scoped_lock lock(this->table_mutex);
     return this->table;
@@ -215,7 +225,7 @@
       lateness,
       [this] {
         return std::make_shared<const gateway::GatewayView>(gateway::GatewayView{
-            nullptr, this->Table(), this->lease_valid ? TimePoint::max() : TimePoint::min()});
+            nullptr, this->Table(), this->HasLease() ? TimePoint::max() : TimePoint::min()});
       },
       [](TimePoint) {},
       [this] { return this->AnswerBy(); },
