Leave a silent or slow upstream only for another one that is connected

Callers saw streams cut, and got 502, though their upstream was only silent for a while and would have completed the answer. The retry was taken from the budget and the connection closed before it was known whether the request could go on anywhere; if it could not, it was refused, which cuts a stream that has begun.

Now the wait goes on until another upstream is chosen under the newest configuration, has a connection, and the prompt, the lease, a planned stop, the attempts and the budget allow it. The first connection is still closed before the request is handed over to the second. A retry that is not made is put back into the budget. A newer configuration that refuses the request leaves its route as it was.

--- a/include/masticrill/routing/retry.h
+++ b/include/masticrill/routing/retry.h
@@ -34,6 +34,8 @@
   bool TryTake();
   /// Like TryTake for a hedge, which must leave `hedge_reserve` in the bucket.
   bool TryTakeForHedge();
+  /// Returns the cost of an attempt that was granted and not made.
+  void PutBack();
   double Balance() const;
 
  private:
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -103,7 +103,7 @@
                    this->context.settings.retry_after_no_lease};
   }
   // A configuration that may be out of date says nothing about routes and keys.
-  if (std::optional<Refusal> refusal = this->CheckLease()) {
+  if (std::optional<Refusal> refusal = this->CheckLease(*this->view)) {
     return refusal;
   }
   if (std::optional<Refusal> refusal = this->ReadRoute()) {
@@ -142,32 +142,42 @@
 }
 
 std::optional<Refusal> CallRunner::UseNewestView() {
-  const GatewayViewPtr former = std::exchange(this->view, this->context.view());
-  if (std::optional<Refusal> refusal = this->CheckLease()) {
-    // The route belongs to the former view.
-    this->view = former;
+  const GatewayViewPtr newest = this->context.view();
+  if (std::optional<Refusal> refusal = this->CheckLease(*newest)) {
     return refusal;
   }
-  if (former->table == this->view->table) {
+  return this->UseView(newest);
+}
+
+std::optional<Refusal> CallRunner::UseView(const GatewayViewPtr& newest) {
+  const GatewayViewPtr former = std::exchange(this->view, newest);
+  if (former->table == newest->table) {
     return std::nullopt;
   }
-  const Route& admitted = *this->route;
-  const TeamId team = this->owner.team;
-  if (std::optional<Refusal> refusal = this->ReadRoute()) {
-    return refusal;
+  const Route* const admitted = this->route;
+  const KeyOwner former_owner = this->owner;
+  std::optional<Refusal> refusal = this->ReadRoute();
+  if (!refusal && !this->HandlesAlike(*admitted, former_owner.team)) {
+    refusal = Refusal{RefusalKind::kNoLease, Execution::kNotRun,
+                      "The configuration of this route has changed. Send the request again.",
+                      this->context.settings.retry_after};
   }
+  if (refusal) {
+    this->view = former;
+    this->route = admitted;
+    this->owner = former_owner;
+  }
+  return refusal;
+}
+
+bool CallRunner::HandlesAlike(const Route& admitted, const TeamId& team) const {
   const std::vector<RouteTarget>& targets = this->route->targets;
   const bool still_leads_there =
       std::any_of(targets.begin(), targets.end(), [&](const RouteTarget& target) {
         return target.weight > 0 && target.service == this->service;
       });
-  if (still_leads_there && this->owner.team == team && this->route->kind == admitted.kind &&
-      this->route->models == admitted.models) {
-    return std::nullopt;
-  }
-  return Refusal{RefusalKind::kNoLease, Execution::kNotRun,
-                 "The configuration of this route has changed. Send the request again.",
-                 this->context.settings.retry_after};
+  return still_leads_there && this->owner.team == team && this->route->kind == admitted.kind &&
+         this->route->models == admitted.models;
 }
 
 /// Lets a request that arrives shortly before the first lease wait for it, but only for a share of
@@ -182,8 +192,8 @@
   this->view = this->context.view();
 }
 
-std::optional<Refusal> CallRunner::CheckLease() const {
-  if (this->view->HasLease(this->clock.Now())) {
+std::optional<Refusal> CallRunner::CheckLease(const GatewayView& of) const {
+  if (of.HasLease(this->clock.Now())) {
     return std::nullopt;
   }
   return Refusal{RefusalKind::kNoLease, Execution::kNotRun,
@@ -275,12 +285,15 @@
   return routing::GroupOf(this->route->id.Value(), work.shared + work.own);
 }
 
+UpstreamQuery CallRunner::MakeQuery() const {
+  return {this->service, this->tried, this->route->sticky ? SharedPart(this->metadata.prompt) : "",
+          this->EstimateWork(), this->SessionKey()};
+}
+
 /// Finds an upstream. Waits for a limited time where only cold ones are left, and refuses the
 /// request if there is none.
 std::optional<UpstreamPick> CallRunner::FindUpstream() {
-  const UpstreamQuery query{this->service, this->tried,
-                            this->route->sticky ? SharedPart(this->metadata.prompt) : "",
-                            this->EstimateWork(), this->SessionKey()};
+  const UpstreamQuery query = this->MakeQuery();
   const TimePoint wait_until =
       std::min(this->WaitUntil(), this->LatencyBound(this->context.settings.cold_wait_share));
   while (true) {
@@ -328,8 +341,8 @@
   return parameters;
 }
 
-/// The time limits of the next attempt. A silent or slow upstream is abandoned only if a retry
-/// elsewhere is granted: otherwise a late answer is better than none.
+/// The time limits of the next attempt. A silent or slow upstream is abandoned only if the request
+/// goes on elsewhere: otherwise a late answer is better than none.
 AttemptTimes CallRunner::MakeTimes(std::uint32_t attempts_made) {
   AttemptTimes times;
   times.deadline = this->deadline;
@@ -350,17 +363,7 @@
         std::max(times.max_silence,
                  duration_cast<Duration>(target * this->context.settings.slow_start_factor));
   }
-  times.may_retry_elsewhere = [this, attempts_made] {
-    if (!this->granted_retry) {
-      const routing::RetryDecision decision =
-          this->TakeRetry(routing::HandOverState::kMayHaveRun, attempts_made);
-      if (!decision.retry) {
-        return false;
-      }
-      this->granted_retry = decision;
-    }
-    return true;
-  };
+  times.prepare_move = [this, attempts_made] { return this->PrepareMove(attempts_made); };
   return times;
 }
 
@@ -398,14 +401,20 @@
                  this->context.settings.retry_after_blocked);
     return NextStep::kStop;
   }
-  const std::optional<UpstreamPick> pick = this->FindUpstream();
-  if (!pick) {
-    return NextStep::kStop;
+  if (this->next == nullptr) {
+    const std::optional<UpstreamPick> pick = this->FindUpstream();
+    if (!pick) {
+      return NextStep::kStop;
+    }
+    this->next_pick = *pick;
+    this->next = std::make_unique<UpstreamAttempt>(*pick, this->context.protocol,
+                                                   this->context.pool, this->context.settings);
   }
+  const std::unique_ptr<UpstreamAttempt> owned = std::move(this->next);
+  UpstreamAttempt& attempt = *owned;
+  const ListedUpstream& upstream = attempt.Upstream();
   this->survival_recorded = false;
-  this->last_pick = *pick;
-  UpstreamAttempt attempt(*pick, this->context.protocol, this->context.pool,
-                          this->context.settings);
+  this->last_pick = this->next_pick;
   // The lease may have ended, or the configuration changed, while the request waited.
   if (const std::optional<Refusal> refusal = this->UseNewestView()) {
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
@@ -416,8 +425,9 @@
     return NextStep::kStop;
   }
   const routing::EvidenceTable::WaitId wait =
-      this->context.evidence.BeginWait(VersionOf(pick->upstream), this->Group(), this->clock.Now());
-  const AttemptEnd end = attempt.Start(this->request, this->MakeAttemptParameters(pick->upstream),
+      this->context.evidence.BeginWait(VersionOf(upstream), this->Group(), this->clock.Now());
+  this->tried.insert(upstream.id);
+  const AttemptEnd end = attempt.Start(this->request, this->MakeAttemptParameters(upstream),
                                        this->body, this->metadata.request, this->caller.Socket(),
                                        this->MakeTimes(this->attempts + 1));
   if (attempt.HandedOver() && WasGivenUp(end)) {
@@ -428,7 +438,6 @@
   this->last_attempt_end = ToString(end);
   this->context.metrics.pauses += attempt.Metadata().pause ? 1 : 0;
   this->context.metrics.limited_answers += attempt.Metadata().requests_per_second ? 1 : 0;
-  this->tried.insert(pick->upstream.id);
   // If another upstream has taken over the address and rejected the request, the request has not
   // reached the chosen one.
   this->attempts += attempt.HandedOver() && !attempt.Metadata().other_upstream ? 1 : 0;
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -80,11 +80,15 @@
 
   std::optional<Refusal> Admit();
   std::optional<Refusal> ReadRoute();
-  /// Before a hand-over: turns to the newest configuration, and refuses the request where that
-  /// handles it differently or its lease has ended.
+  /// Before a hand-over: turns to a newer configuration. Refuses the request, and changes nothing,
+  /// where that handles it differently.
+  std::optional<Refusal> UseView(const GatewayViewPtr& newest);
+  /// Whether the present route lets a request that was admitted under another one go on.
+  bool HandlesAlike(const Route& admitted, const TeamId& team) const;
+  /// UseView of the configuration in force, refused without a lease, too.
   std::optional<Refusal> UseNewestView();
   void AwaitLease();
-  std::optional<Refusal> CheckLease() const;
+  std::optional<Refusal> CheckLease(const GatewayView& of) const;
   /// While this process is stopping: refuses a request that might outlast it.
   std::optional<Refusal> CheckTimeLeft() const;
   /// How long a hand-over now takes until the end of the answer: at most, for a request that must
@@ -96,7 +100,11 @@
   WorkEstimate EstimateWork() const;
   /// The requests with which this one's time to the first token is compared.
   routing::RequestGroup Group() const;
+  UpstreamQuery MakeQuery() const;
   std::optional<UpstreamPick> FindUpstream();
+  /// Before the silent or slow upstream of the present attempt is abandoned: finds another one and
+  /// connects to it. False while the request cannot go on elsewhere.
+  bool PrepareMove(std::uint32_t attempts_made);
   AttemptParameters MakeAttemptParameters(const ListedUpstream& upstream) const;
   AttemptTimes MakeTimes(std::uint32_t attempts_made);
   NextStep MakeAttempt();
@@ -154,6 +162,9 @@
   bool may_have_run = false;
   /// A retry that was granted while the attempt still ran, when its upstream was silent or slow.
   std::optional<routing::RetryDecision> granted_retry;
+  /// The upstream of that retry, with a connection to it.
+  UpstreamPick next_pick;
+  std::unique_ptr<UpstreamAttempt> next;
   EventSplitter events;
   UpstreamPick last_pick;
   std::string last_attempt_end;
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -80,8 +80,11 @@
                                   const AttemptParameters& parameters, std::string_view body,
                                   const RequestId& id, const net::SocketStream& caller,
                                   const AttemptTimes& times) {
-  if (const AttemptEnd end = this->Connect(caller, times); end != AttemptEnd::kAnswered) {
-    return end;
+  if (this->stream == nullptr) {
+    if (const AttemptEnd end = this->Connect(caller, times.deadline);
+        end != AttemptEnd::kAnswered) {
+      return end;
+    }
   }
   // It may have asked for a pause, or said that it leaves, since it was chosen.
   if (!this->pool.MayStillSend(this->upstream.id, this->clock.Now())) {
@@ -97,9 +100,9 @@
   return this->CheckHead(id, request.method);
 }
 
-AttemptEnd UpstreamAttempt::Connect(const net::SocketStream& caller, const AttemptTimes& times) {
+AttemptEnd UpstreamAttempt::Connect(const net::SocketStream& caller, TimePoint deadline) {
   const TimePoint connect_by =
-      std::min(times.deadline, this->clock.Now() + Duration(this->settings.connect_timeout));
+      std::min(deadline, this->clock.Now() + Duration(this->settings.connect_timeout));
   net::IoEnd end = net::IoEnd::kDone;
   this->stream = net::SocketStream::Connect(this->upstream.address, connect_by, &caller, end);
   if (end == net::IoEnd::kWatchedLeft) {
@@ -135,15 +138,15 @@
   if (now >= times.deadline) {
     return AttemptEnd::kTimeout;
   }
-  if (!times.may_retry_elsewhere) {
+  if (!times.prepare_move) {
     return std::nullopt;
   }
-  if (!this->answer_begun && now >= times.answer_by && times.may_retry_elsewhere()) {
+  if (!this->answer_begun && now >= times.answer_by && times.prepare_move()) {
     return AttemptEnd::kSlow;
   }
   if (now - this->last_received_at >= times.max_silence &&
       this->pool.SilenceDuration(this->upstream.id, now) >= times.max_silence &&
-      times.may_retry_elsewhere()) {
+      times.prepare_move()) {
     return AttemptEnd::kSilent;
   }
   return std::nullopt;
@@ -161,7 +164,7 @@
       return AttemptEnd::kStopping;
     }
     const Duration check =
-        times.may_retry_elsewhere ? this->settings.silence_check : this->settings.stop_check;
+        times.prepare_move ? this->settings.silence_check : this->settings.stop_check;
     const TimePoint wait_until =
         std::min({times.deadline, this->clock.Now() + check, stop_by.value_or(TimePoint::max())});
     const net::IoEnd end = this->stream->Fill(wait_until, &caller);
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -40,9 +40,9 @@
   TimePoint answer_by;
   /// How long an upstream may send nothing before it is abandoned.
   Duration max_silence{0};
-  /// Called before a silent or slow upstream is abandoned: whether the request may be retried
-  /// elsewhere. Empty where a retry is ruled out; then only the deadline ends the wait.
-  std::function<bool()> may_retry_elsewhere;
+  /// Called before a silent or slow upstream is abandoned: whether the request goes on elsewhere if
+  /// it is. Empty where that is ruled out; then only the deadline ends the wait.
+  std::function<bool()> prepare_move;
   /// When a planned stop of this process ends the wait; absent while none has begun.
   std::function<std::optional<TimePoint>()> stop_by;
   /// Called before the first byte of the request is sent.
@@ -61,7 +61,9 @@
   UpstreamAttempt(const UpstreamAttempt&) = delete;
   UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
-  /// Connects, hands the request over and reads the head of the answer.
+  /// Connects only; Start then goes on with the connection. kAnswered means connected.
+  AttemptEnd Connect(const net::SocketStream& caller, TimePoint deadline);
+  /// Connects unless Connect has, hands the request over and reads the head of the answer.
   AttemptEnd Start(const net::RequestHead& request, const AttemptParameters& parameters,
                    std::string_view body, const RequestId& id, const net::SocketStream& caller,
                    const AttemptTimes& times);
@@ -91,7 +93,6 @@
   Duration AnswerLatency() const { return this->answered_at - this->started_at; }
 
  private:
-  AttemptEnd Connect(const net::SocketStream& caller, const AttemptTimes& times);
   AttemptEnd HandOver(const net::RequestHead& request, const AttemptParameters& parameters,
                       std::string_view body, const net::SocketStream& caller,
                       const AttemptTimes& times);
--- a/src/routing/retry.cc
+++ b/src/routing/retry.cc
@@ -28,6 +28,11 @@
   return true;
 }
 
+void RetryBudget::PutBack() {
+  const std::lock_guard lock(this->mutex);
+  this->balance = std::min(this->balance + 1, this->settings.max_balance);
+}
+
 double RetryBudget::Balance() const {
   const std::lock_guard lock(this->mutex);
   return this->balance;
--- a/test/routing/retry_test.cc
+++ b/test/routing/retry_test.cc
@@ -98,6 +98,18 @@
   }
 }
 
+TEST_CASE("the cost of a retry that is not made is put back, up to the capacity") {
+  RetryBudget budget({.max_balance = 2, .initial_balance = 1.5});
+  REQUIRE(budget.TryTake());
+  CHECK_FALSE(budget.TryTake());
+  budget.PutBack();
+  CHECK(budget.Balance() == 1.5);
+  CHECK(budget.TryTake());
+  budget.PutBack();
+  budget.PutBack();
+  CHECK(budget.Balance() == 2);
+}
+
 TEST_CASE("hedges leave the reserve for retries of failed attempts") {
   RetryBudget budget({.initial_balance = 11});
   CHECK(budget.TryTakeForHedge());
