Look for an upstream until the deadline for a stream that has begun

Callers saw streams cut, though resumable, when at the moment at which their upstream broke off the others were full, the lease was not renewed, or the retry budget was empty. Nothing runs then, so the request can wait: a begun stream, and a request that has left a slow upstream, now look again every 100 ms until the deadline or the end of a planned stop, until the caller leaves or the attempts are used up. An upstream that did not run such a request counts against the retry budget as before, but not against the attempts of its route, which limit the upstreams that run it. For other requests nothing changes.

--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -31,6 +31,9 @@
   double slow_answer_factor = 2;
   /// Failed connections to upstreams that one request tolerates before it is refused.
   std::uint32_t max_connect_failures = 6;
+  /// How often a request that must go on elsewhere looks for an upstream again, while none can take
+  /// it over.
+  milliseconds resume_check{100};
   /// The longest header of an upstream's answer, and the longest body that is buffered.
   std::size_t max_answer_head_bytes = std::size_t{64} << 10U;
   std::size_t max_answer_bytes = std::size_t{8} << 20U;
--- a/src/gateway/call_end.cc
+++ b/src/gateway/call_end.cc
@@ -54,6 +54,12 @@
   this->RecordEnd(execution == Execution::kNotRun ? "refused" : "failed", status, ToString(kind));
 }
 
+void CallRunner::Cancel() {
+  this->context.metrics.refusals.Add(RefusalKind::kCancelled);
+  this->caller.Abort();
+  this->RecordEnd("cancelled", 0, "caller_left");
+}
+
 void CallRunner::Cut(std::string_view reason) {
   this->context.metrics.cut.Add(this->context.phase());
   this->caller.Abort();
--- a/src/gateway/call_move.cc
+++ b/src/gateway/call_move.cc
@@ -1,13 +1,47 @@
 // The part of CallRunner that moves a request from a silent or slow upstream to another one.
+#include <condition_variable>
+#include <mutex>
 #include <utility>
 
 #include "gateway/call_runner.h"
 
 namespace masticrill::gateway {
 
+void CallRunner::Pause(Duration duration) {
+  std::mutex mutex;
+  std::condition_variable never;
+  std::unique_lock lock(mutex);
+  never.wait_for(lock, duration);
+}
+
+bool CallRunner::KeepsLooking() const { return this->caller.Begun() || this->moved; }
+
+bool CallRunner::PauseToResume() {
+  const Duration pause(this->context.settings.resume_check);
+  if (!this->KeepsLooking() || this->clock.Now() + pause >= this->WaitUntil() ||
+      this->caller.Socket().PeerLeft()) {
+    return false;
+  }
+  Pause(pause);
+  return true;
+}
+
+bool CallRunner::AwaitRetryBudget() {
+  while (this->PauseToResume()) {
+    const routing::RetryDecision decision =
+        this->TakeRetry(routing::HandOverState::kMayHaveRun, this->attempts);
+    if (decision.retry || decision.reason != routing::RetryReason::kRefusedBudget) {
+      this->context.metrics.retries.Add(decision.reason);
+      return decision.retry;
+    }
+  }
+  return false;
+}
+
 bool CallRunner::PrepareMove(std::uint32_t attempts_made) {
-  if (this->context.prompts.FindBlocked(this->parts, this->clock.Now()) || this->UseNewestView() ||
-      this->CheckTimeLeft()) {
+  const GatewayViewPtr newest = this->context.view();
+  if (this->context.prompts.FindBlocked(this->parts, this->clock.Now()) ||
+      this->CheckLease(*newest) || this->UseView(newest) || this->CheckTimeLeft()) {
     return false;
   }
   const routing::RetryDecision decision =
@@ -35,6 +69,7 @@
   this->granted_retry = decision;
   this->next_pick = pick;
   this->next = std::move(attempt);
+  this->moved = true;
   return true;
 }
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -1,7 +1,6 @@
 #include "gateway/call_runner.h"
 
 #include <algorithm>
-#include <condition_variable>
 #include <utility>
 
 #include "masticrill/common/hash.h"
@@ -40,13 +39,6 @@
   return attempt.AnswerBegun() ? duration_cast<milliseconds>(attempt.AnswerAge(now)).count() : -1;
 }
 
-void Pause(Duration duration) {
-  std::mutex mutex;
-  std::condition_variable never;
-  std::unique_lock lock(mutex);
-  never.wait_for(lock, duration);
-}
-
 }  // namespace
 
 routing::RetryBudget& RetryBudgets::For(const ServiceId& service) {
@@ -141,14 +133,6 @@
   return std::nullopt;
 }
 
-std::optional<Refusal> CallRunner::UseNewestView() {
-  const GatewayViewPtr newest = this->context.view();
-  if (std::optional<Refusal> refusal = this->CheckLease(*newest)) {
-    return refusal;
-  }
-  return this->UseView(newest);
-}
-
 std::optional<Refusal> CallRunner::UseView(const GatewayViewPtr& newest) {
   const GatewayViewPtr former = std::exchange(this->view, newest);
   if (former->table == newest->table) {
@@ -293,7 +277,7 @@
 /// Finds an upstream. Waits for a limited time where only cold ones are left, and refuses the
 /// request if there is none.
 std::optional<UpstreamPick> CallRunner::FindUpstream() {
-  const UpstreamQuery query = this->MakeQuery();
+  UpstreamQuery query = this->MakeQuery();
   const TimePoint wait_until =
       std::min(this->WaitUntil(), this->LatencyBound(this->context.settings.cold_wait_share));
   while (true) {
@@ -307,6 +291,16 @@
       Pause(pick.retry_after);
       continue;
     }
+    if (this->PauseToResume() &&
+        !this->context.prompts.FindBlocked(this->parts, this->clock.Now())) {
+      // One that was full may have a place by now.
+      query.excluded.clear();
+      continue;
+    }
+    if (this->KeepsLooking() && this->caller.Socket().PeerLeft()) {
+      this->Cancel();
+      return std::nullopt;
+    }
     if (this->may_have_run) {
       this->Refuse(RefusalKind::kUpstreamFailed, "No other upstream can take over the request.");
     } else if (pick.status == PickStatus::kNoUpstream) {
@@ -386,6 +380,15 @@
 }
 
 CallRunner::NextStep CallRunner::MakeAttempt() {
+  if (std::exchange(this->awaits_retry, false) && !this->AwaitRetryBudget()) {
+    if (this->caller.Socket().PeerLeft()) {
+      this->Cancel();
+    } else {
+      this->Refuse(RefusalKind::kUpstreamFailed,
+                   "The upstream failed; no further attempt is allowed.");
+    }
+    return NextStep::kStop;
+  }
   if (this->clock.Now() >= this->deadline) {
     this->Refuse(this->may_have_run ? RefusalKind::kDeadlineExceeded : RefusalKind::kOverloaded,
                  "The deadline of the request has passed.", this->context.settings.retry_after);
@@ -416,7 +419,15 @@
   this->survival_recorded = false;
   this->last_pick = this->next_pick;
   // The lease may have ended, or the configuration changed, while the request waited.
-  if (const std::optional<Refusal> refusal = this->UseNewestView()) {
+  const GatewayViewPtr newest = this->context.view();
+  if (const std::optional<Refusal> lapse = this->CheckLease(*newest)) {
+    if (this->PauseToResume()) {
+      return NextStep::kTryAgain;
+    }
+    this->Refuse(lapse->kind, lapse->message, lapse->retry_after);
+    return NextStep::kStop;
+  }
+  if (const std::optional<Refusal> refusal = this->UseView(newest)) {
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
     return NextStep::kStop;
   }
@@ -439,8 +450,11 @@
   this->context.metrics.pauses += attempt.Metadata().pause ? 1 : 0;
   this->context.metrics.limited_answers += attempt.Metadata().requests_per_second ? 1 : 0;
   // If another upstream has taken over the address and rejected the request, the request has not
-  // reached the chosen one.
-  this->attempts += attempt.HandedOver() && !attempt.Metadata().other_upstream ? 1 : 0;
+  // reached the chosen one. One that keeps looking counts only the upstreams that ran it; the retry
+  // budget limits the others.
+  const bool counts = attempt.HandedOver() && !attempt.Metadata().other_upstream &&
+                      !(end == AttemptEnd::kNotRun && this->KeepsLooking());
+  this->attempts += counts ? 1 : 0;
   return this->OnEnd(attempt, end);
 }
 
@@ -451,7 +465,8 @@
     case AttemptEnd::kNotConnected:
       attempt.SetVerdict(AttemptVerdict::kFailure);
       ++this->connect_failures;
-      if (this->connect_failures <= this->context.settings.max_connect_failures) {
+      if (this->KeepsLooking() ||
+          this->connect_failures <= this->context.settings.max_connect_failures) {
         return NextStep::kTryAgain;
       }
       this->Refuse(this->may_have_run ? RefusalKind::kUpstreamFailed : RefusalKind::kNoUpstream,
@@ -466,9 +481,7 @@
       }
       return this->RetryOrRefuse(attempt, end, RefusalKind::kOverloaded);
     case AttemptEnd::kCallerDisconnected:
-      this->RecordEnd("cancelled", 0, "caller_left");
-      this->context.metrics.refusals.Add(RefusalKind::kCancelled);
-      this->caller.Abort();
+      this->Cancel();
       return NextStep::kStop;
     case AttemptEnd::kTimeout:
       this->may_have_run = this->may_have_run || attempt.HandedOver();
@@ -530,6 +543,11 @@
   if (decision.retry) {
     return NextStep::kTryAgain;
   }
+  if (this->caller.Begun() && decision.reason == routing::RetryReason::kRefusedBudget) {
+    // Waits after this attempt has ended its connection.
+    this->awaits_retry = true;
+    return NextStep::kTryAgain;
+  }
   if (this->caller.Begun()) {
     this->context.metrics.refusals.Add(RefusalKind::kAnswerInterrupted);
     this->Cut("answer_interrupted");
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -85,8 +85,6 @@
   std::optional<Refusal> UseView(const GatewayViewPtr& newest);
   /// Whether the present route lets a request that was admitted under another one go on.
   bool HandlesAlike(const Route& admitted, const TeamId& team) const;
-  /// UseView of the configuration in force, refused without a lease, too.
-  std::optional<Refusal> UseNewestView();
   void AwaitLease();
   std::optional<Refusal> CheckLease(const GatewayView& of) const;
   /// While this process is stopping: refuses a request that might outlast it.
@@ -105,6 +103,15 @@
   /// Before the silent or slow upstream of the present attempt is abandoned: finds another one and
   /// connects to it. False while the request cannot go on elsewhere.
   bool PrepareMove(std::uint32_t attempts_made);
+  /// Whether the request waits for an upstream until its deadline: its caller has the beginning of
+  /// a stream, or an upstream that might have answered it was abandoned.
+  bool KeepsLooking() const;
+  /// Waits a moment before a request that keeps looking tries again. Returns false, at once, for
+  /// others, when the time is over and after the caller has left.
+  bool PauseToResume();
+  static void Pause(Duration duration);
+  /// Waits for a place in the retry budget. False when there is none in time.
+  bool AwaitRetryBudget();
   AttemptParameters MakeAttemptParameters(const ListedUpstream& upstream) const;
   AttemptTimes MakeTimes(std::uint32_t attempts_made);
   NextStep MakeAttempt();
@@ -132,6 +139,8 @@
               std::optional<milliseconds> retry_after = std::nullopt);
   std::string LastModel() const;
   void RecordEnd(std::string_view outcome, int status, std::string_view reason);
+  /// Ends the request of a caller that has left.
+  void Cancel();
   /// Closes the connection without a complete answer, which its caller is still waiting for.
   void Cut(std::string_view reason);
   ActiveCall Describe() const;
@@ -165,6 +174,10 @@
   /// The upstream of that retry, with a connection to it.
   UpstreamPick next_pick;
   std::unique_ptr<UpstreamAttempt> next;
+  /// Whether an upstream was abandoned for another one.
+  bool moved = false;
+  /// Whether the next attempt still lacks a place in the retry budget.
+  bool awaits_retry = false;
   EventSplitter events;
   UpstreamPick last_pick;
   std::string last_attempt_end;
--- a/test/gateway/move_elsewhere_test.cc
+++ b/test/gateway/move_elsewhere_test.cc
@@ -192,6 +192,51 @@
   CHECK(second.Calls() == 3);
 }
 
+// Guards against streams that are cut because the retry budget is empty for a moment.
+TEST_CASE("a stream that breaks off waits for a place in the retry budget") {
+  GatewayPath path(RouteOf(RouteKind::kStream, 2));
+  std::atomic<bool> is_full = true;
+  RawUpstream second([&](const RawCall& call) {
+    call.Write(is_full ? kNotRun
+                       : kHead + (call.Has("After: 1") ? "" : kChunk1) + kChunk2 + kLastChunk);
+  });
+  RawUpstream breaking([&](const RawCall& call) {
+    path.SetUpstreams({ClosedAddress(), second.Address()});
+    call.Write(kHead + kChunk1);
+  });
+  path.SetUpstreams({breaking.Address(), second.Address()});
+  const auto caller = path.Connect();
+  caller->Write(kPost, SystemClock().Now() + seconds(10));
+  const int allowed = static_cast<int>(path.settings.retry_balance);
+  REQUIRE(fakes::WaitUntil([&] { return second.Calls() == allowed; }));
+  is_full = false;
+  // Each request adds to the budget.
+  CHECK(EventsOf(path.Send(kPost)) == kEvent1 + kEvent2);
+  CHECK(EventsOf(path.Send(kPost)) == kEvent1 + kEvent2);
+  CHECK(EventsOf(GatewayPath::Read(*caller)) == kEvent1 + kEvent2);
+  CHECK(second.Calls() == allowed + 3);
+}
+
+// Guards against callers that have left while their stream waits for an upstream.
+TEST_CASE("a stream that waits for an upstream ends when its caller leaves") {
+  GatewayPath path(RouteOf(RouteKind::kStream, 2));
+  RawUpstream breaking([&](const RawCall& call) {
+    path.SetUpstreams({ClosedAddress()});
+    call.Write(kHead + kChunk1);
+  });
+  path.SetUpstreams({breaking.Address()});
+  {
+    const auto caller = path.Connect();
+    caller->Write(kPost, SystemClock().Now() + seconds(10));
+    std::string_view seen;
+    while (seen.find(kEvent1) == std::string_view::npos &&
+           caller->Fill(SystemClock().Now() + seconds(10)) == net::IoEnd::kDone) {
+      seen = caller->Buffered();
+    }
+  }
+  CHECK(fakes::WaitUntil([&] { return path.metrics.refusals.Get(RefusalKind::kCancelled) == 1; }));
+}
+
 // Guards against streams that are cut because their upstream broke off while the lease was not
 // renewed for a moment.
 TEST_CASE("a stream that breaks off while the lease has lapsed goes on when it is renewed") {
