Resume a stream whose service keeps its route with the weight 0

Callers saw a resumable stream cut when its upstream broke off after a change that gave its service the weight 0 on its route. The weight says where new requests go; a stream that has begun can only go on at its service, which the route still names. Requests that have not begun are refused as before, so that their callers' next attempts follow the new weights.

"a stream that breaks off is resumed after a change of timeouts and weights" failed for the weight 0 on (cut, no_lease) and holds now; with it 16 of 16 cases of test_gateway -tc="*resum*,*further attempt*,a stream*".

--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -158,7 +158,8 @@
   const std::vector<RouteTarget>& targets = this->route->targets;
   const bool still_leads_there =
       std::any_of(targets.begin(), targets.end(), [&](const RouteTarget& target) {
-        return target.weight > 0 && target.service == this->service;
+        // A weight of 0 keeps new requests away; a stream that has begun can't change its service.
+        return target.service == this->service && (target.weight > 0 || this->caller.Begun());
       });
   return still_leads_there && this->owner.team == team && this->route->kind == admitted.kind &&
          this->route->models == admitted.models;
