--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -86,7 +86,7 @@
   }
 
   /// Puts a table with this route only in force.
-  void Declare(gateway::Route prototype) {
+  void Declare(gateway::Route prototype, const gateway::CallerLimits& limits = {}) {
     prototype.id = gateway::RouteId("route");
     prototype.host = "host";
     if (prototype.path_prefix.empty()) {
@@ -103,6 +103,7 @@
     }
     gateway::RouteTable next;
     next.revision = ++this->revision;
+    next.limits = limits;
     next.routes.emplace(prototype.id, prototype);
     next.services[kService] = {kService, 0, {}, true, 1, {}};
     next.key_owners["good-key"] = {TeamId("team"), std::nullopt};
@@ -155,7 +156,12 @@
                                              SystemClock().Now() + seconds(10), nullptr, end);
     this->threads.emplace_back([this, accepted = this->listener.acceptConnection()] {
       gateway::CallerConnection connection(
-          net::SocketStream(accepted), [this] { return this->Table()->limits; },
+          net::SocketStream(accepted),
+          [this] {
+            gateway::CallerLimits limits = this->Table()->limits;
+            ++this->limit_reads;
+            return limits;
+          },
           [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
           [this](const net::RequestHead& head, const std::string& body,
                  gateway::CallerStream& stream, TimePoint arrived_at) {
@@ -177,6 +183,8 @@
   std::atomic<bool> lease_valid = true;
   /// How many of the next requests for the configuration find its lease lapsed.
   std::atomic<int> lapsed_views = 0;
+  /// How often connections have asked for the limits.
+  std::atomic<int> limit_reads = 0;
   /// When this node ends at the latest; the greatest time while it is not stopping.
   std::atomic<TimePoint> ends_at = TimePoint::max();
   gateway::UpstreamPool pool{gateway::PoolSettings{.own_domain = FailureDomainId("home")},
