--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -1,7 +1,6 @@
 #include "gateway/call_runner.h"
 
 #include <algorithm>
-#include <condition_variable>
 #include <utility>
 
 #include "masticrill/common/hash.h"
@@ -40,13 +39,6 @@
   return attempt.AnswerBegun() ? duration_cast<milliseconds>(attempt.AnswerAge(now)).count() : -1;
 }
 
-void Pause(Duration duration) {
-  std::mutex mutex;
-  std::condition_variable never;
-  std::unique_lock lock(mutex);
-  never.wait_for(lock, duration);
-}
-
 }  // namespace
 
 routing::RetryBudget& RetryBudgets::For(const ServiceId& service) {
@@ -103,7 +95,7 @@
                    this->context.settings.retry_after_no_lease};
   }
   // A configuration that may be out of date says nothing about routes and keys.
-  if (std::optional<Refusal> refusal = this->CheckLease()) {
+  if (std::optional<Refusal> refusal = this->CheckLease(*this->view)) {
     return refusal;
   }
   if (std::optional<Refusal> refusal = this->ReadRoute()) {
@@ -141,33 +133,36 @@
   return std::nullopt;
 }
 
-std::optional<Refusal> CallRunner::UseNewestView() {
-  const GatewayViewPtr former = std::exchange(this->view, this->context.view());
-  if (std::optional<Refusal> refusal = this->CheckLease()) {
-    // The route belongs to the former view.
-    this->view = former;
-    return refusal;
-  }
-  if (former->table == this->view->table) {
+std::optional<Refusal> CallRunner::UseView(const GatewayViewPtr& newest) {
+  const GatewayViewPtr former = std::exchange(this->view, newest);
+  if (former->table == newest->table) {
     return std::nullopt;
   }
-  const Route& admitted = *this->route;
-  const TeamId team = this->owner.team;
-  if (std::optional<Refusal> refusal = this->ReadRoute()) {
-    return refusal;
+  const Route* const admitted = this->route;
+  const KeyOwner former_owner = this->owner;
+  std::optional<Refusal> refusal = this->ReadRoute();
+  if (!refusal && !this->HandlesAlike(*admitted, former_owner.team)) {
+    refusal = Refusal{RefusalKind::kNoLease, Execution::kNotRun,
+                      "The configuration of this route has changed. Send the request again.",
+                      this->context.settings.retry_after};
+  }
+  if (refusal) {
+    this->view = former;
+    this->route = admitted;
+    this->owner = former_owner;
   }
+  return refusal;
+}
+
+bool CallRunner::HandlesAlike(const Route& admitted, const TeamId& team) const {
   const std::vector<RouteTarget>& targets = this->route->targets;
   const bool still_leads_there =
       std::any_of(targets.begin(), targets.end(), [&](const RouteTarget& target) {
-        return target.weight > 0 && target.service == this->service;
+        // A weight of 0 keeps new requests away; a stream that has begun can't change its service.
+        return target.service == this->service && (target.weight > 0 || this->caller.Begun());
       });
-  if (still_leads_there && this->owner.team == team && this->route->kind == admitted.kind &&
-      this->route->models == admitted.models) {
-    return std::nullopt;
-  }
-  return Refusal{RefusalKind::kNoLease, Execution::kNotRun,
-                 "The configuration of this route has changed. Send the request again.",
-                 this->context.settings.retry_after};
+  return still_leads_there && this->owner.team == team && this->route->kind == admitted.kind &&
+         this->route->models == admitted.models;
 }
 
 /// Lets a request that arrives shortly before the first lease wait for it, but only for a share of
@@ -182,8 +177,8 @@
   this->view = this->context.view();
 }
 
-std::optional<Refusal> CallRunner::CheckLease() const {
-  if (this->view->HasLease(this->clock.Now())) {
+std::optional<Refusal> CallRunner::CheckLease(const GatewayView& of) const {
+  if (of.HasLease(this->clock.Now())) {
     return std::nullopt;
   }
   return Refusal{RefusalKind::kNoLease, Execution::kNotRun,
@@ -275,12 +270,15 @@
   return routing::GroupOf(this->route->id.Value(), work.shared + work.own);
 }
 
+UpstreamQuery CallRunner::MakeQuery() const {
+  return {this->service, this->tried, this->route->sticky ? SharedPart(this->metadata.prompt) : "",
+          this->EstimateWork(), this->SessionKey()};
+}
+
 /// Finds an upstream. Waits for a limited time where only cold ones are left, and refuses the
 /// request if there is none.
 std::optional<UpstreamPick> CallRunner::FindUpstream() {
-  const UpstreamQuery query{this->service, this->tried,
-                            this->route->sticky ? SharedPart(this->metadata.prompt) : "",
-                            this->EstimateWork(), this->SessionKey()};
+  UpstreamQuery query = this->MakeQuery();
   const TimePoint wait_until =
       std::min(this->WaitUntil(), this->LatencyBound(this->context.settings.cold_wait_share));
   while (true) {
@@ -294,6 +292,16 @@
       Pause(pick.retry_after);
       continue;
     }
+    if (this->PauseToResume() &&
+        !this->context.prompts.FindBlocked(this->parts, this->clock.Now())) {
+      // One that was full may have a place by now.
+      query.excluded.clear();
+      continue;
+    }
+    if (this->KeepsLooking() && this->caller.Socket().PeerLeft()) {
+      this->Cancel();
+      return std::nullopt;
+    }
     if (this->may_have_run) {
       this->Refuse(RefusalKind::kUpstreamFailed, "No other upstream can take over the request.");
     } else if (pick.status == PickStatus::kNoUpstream) {
@@ -328,8 +336,8 @@
   return parameters;
 }
 
-/// The time limits of the next attempt. A silent or slow upstream is abandoned only if a retry
-/// elsewhere is granted: otherwise a late answer is better than none.
+/// The time limits of the next attempt. A silent or slow upstream is abandoned only if the request
+/// goes on elsewhere: otherwise a late answer is better than none.
 AttemptTimes CallRunner::MakeTimes(std::uint32_t attempts_made) {
   AttemptTimes times;
   times.deadline = this->deadline;
@@ -350,17 +358,7 @@
         std::max(times.max_silence,
                  duration_cast<Duration>(target * this->context.settings.slow_start_factor));
   }
-  times.may_retry_elsewhere = [this, attempts_made] {
-    if (!this->granted_retry) {
-      const routing::RetryDecision decision =
-          this->TakeRetry(routing::HandOverState::kMayHaveRun, attempts_made);
-      if (!decision.retry) {
-        return false;
-      }
-      this->granted_retry = decision;
-    }
-    return true;
-  };
+  times.prepare_move = [this, attempts_made] { return this->PrepareMove(attempts_made); };
   return times;
 }
 
@@ -383,6 +381,15 @@
 }
 
 CallRunner::NextStep CallRunner::MakeAttempt() {
+  if (std::exchange(this->awaits_retry, false) && !this->AwaitRetryBudget()) {
+    if (this->caller.Socket().PeerLeft()) {
+      this->Cancel();
+    } else {
+      this->Refuse(RefusalKind::kUpstreamFailed,
+                   "The upstream failed; no further attempt is allowed.");
+    }
+    return NextStep::kStop;
+  }
   if (this->clock.Now() >= this->deadline) {
     this->Refuse(this->may_have_run ? RefusalKind::kDeadlineExceeded : RefusalKind::kOverloaded,
                  "The deadline of the request has passed.", this->context.settings.retry_after);
@@ -398,16 +405,30 @@
                  this->context.settings.retry_after_blocked);
     return NextStep::kStop;
   }
-  const std::optional<UpstreamPick> pick = this->FindUpstream();
-  if (!pick) {
-    return NextStep::kStop;
+  if (this->next == nullptr) {
+    const std::optional<UpstreamPick> pick = this->FindUpstream();
+    if (!pick) {
+      return NextStep::kStop;
+    }
+    this->next_pick = *pick;
+    this->next = std::make_unique<UpstreamAttempt>(*pick, this->context.protocol,
+                                                   this->context.pool, this->context.settings);
   }
+  const std::unique_ptr<UpstreamAttempt> owned = std::move(this->next);
+  UpstreamAttempt& attempt = *owned;
+  const ListedUpstream& upstream = attempt.Upstream();
   this->survival_recorded = false;
-  this->last_pick = *pick;
-  UpstreamAttempt attempt(*pick, this->context.protocol, this->context.pool,
-                          this->context.settings);
+  this->last_pick = this->next_pick;
   // The lease may have ended, or the configuration changed, while the request waited.
-  if (const std::optional<Refusal> refusal = this->UseNewestView()) {
+  const GatewayViewPtr newest = this->context.view();
+  if (const std::optional<Refusal> lapse = this->CheckLease(*newest)) {
+    if (this->PauseToResume()) {
+      return NextStep::kTryAgain;
+    }
+    this->Refuse(lapse->kind, lapse->message, lapse->retry_after);
+    return NextStep::kStop;
+  }
+  if (const std::optional<Refusal> refusal = this->UseView(newest)) {
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
     return NextStep::kStop;
   }
@@ -416,8 +437,9 @@
     return NextStep::kStop;
   }
   const routing::EvidenceTable::WaitId wait =
-      this->context.evidence.BeginWait(VersionOf(pick->upstream), this->Group(), this->clock.Now());
-  const AttemptEnd end = attempt.Start(this->request, this->MakeAttemptParameters(pick->upstream),
+      this->context.evidence.BeginWait(VersionOf(upstream), this->Group(), this->clock.Now());
+  this->tried.insert(upstream.id);
+  const AttemptEnd end = attempt.Start(this->request, this->MakeAttemptParameters(upstream),
                                        this->body, this->metadata.request, this->caller.Socket(),
                                        this->MakeTimes(this->attempts + 1));
   if (attempt.HandedOver() && WasGivenUp(end)) {
@@ -428,10 +450,12 @@
   this->last_attempt_end = ToString(end);
   this->context.metrics.pauses += attempt.Metadata().pause ? 1 : 0;
   this->context.metrics.limited_answers += attempt.Metadata().requests_per_second ? 1 : 0;
-  this->tried.insert(pick->upstream.id);
   // If another upstream has taken over the address and rejected the request, the request has not
-  // reached the chosen one.
-  this->attempts += attempt.HandedOver() && !attempt.Metadata().other_upstream ? 1 : 0;
+  // reached the chosen one. One that keeps looking counts only the upstreams that ran it; the retry
+  // budget limits the others.
+  const bool counts = attempt.HandedOver() && !attempt.Metadata().other_upstream &&
+                      !(end == AttemptEnd::kNotRun && this->KeepsLooking());
+  this->attempts += counts ? 1 : 0;
   return this->OnEnd(attempt, end);
 }
 
@@ -442,7 +466,8 @@
     case AttemptEnd::kNotConnected:
       attempt.SetVerdict(AttemptVerdict::kFailure);
       ++this->connect_failures;
-      if (this->connect_failures <= this->context.settings.max_connect_failures) {
+      if (this->KeepsLooking() ||
+          this->connect_failures <= this->context.settings.max_connect_failures) {
         return NextStep::kTryAgain;
       }
       this->Refuse(this->may_have_run ? RefusalKind::kUpstreamFailed : RefusalKind::kNoUpstream,
@@ -457,9 +482,7 @@
       }
       return this->RetryOrRefuse(attempt, end, RefusalKind::kOverloaded);
     case AttemptEnd::kCallerDisconnected:
-      this->RecordEnd("cancelled", 0, "caller_left");
-      this->context.metrics.refusals.Add(RefusalKind::kCancelled);
-      this->caller.Abort();
+      this->Cancel();
       return NextStep::kStop;
     case AttemptEnd::kTimeout:
       this->may_have_run = this->may_have_run || attempt.HandedOver();
@@ -521,6 +544,11 @@
   if (decision.retry) {
     return NextStep::kTryAgain;
   }
+  if (this->caller.Begun() && decision.reason == routing::RetryReason::kRefusedBudget) {
+    // Waits after this attempt has ended its connection.
+    this->awaits_retry = true;
+    return NextStep::kTryAgain;
+  }
   if (this->caller.Begun()) {
     this->context.metrics.refusals.Add(RefusalKind::kAnswerInterrupted);
     this->Cut("answer_interrupted");
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -80,11 +80,13 @@
 
   std::optional<Refusal> Admit();
   std::optional<Refusal> ReadRoute();
-  /// Before a hand-over: turns to the newest configuration, and refuses the request where that
-  /// handles it differently or its lease has ended.
-  std::optional<Refusal> UseNewestView();
+  /// Before a hand-over: turns to a newer configuration. Refuses the request, and changes nothing,
+  /// where that handles it differently.
+  std::optional<Refusal> UseView(const GatewayViewPtr& newest);
+  /// Whether the present route lets a request that was admitted under another one go on.
+  bool HandlesAlike(const Route& admitted, const TeamId& team) const;
   void AwaitLease();
-  std::optional<Refusal> CheckLease() const;
+  std::optional<Refusal> CheckLease(const GatewayView& of) const;
   /// While this process is stopping: refuses a request that might outlast it.
   std::optional<Refusal> CheckTimeLeft() const;
   /// How long a hand-over now takes until the end of the answer: at most, for a request that must
@@ -96,7 +98,20 @@
   WorkEstimate EstimateWork() const;
   /// The requests with which this one's time to the first token is compared.
   routing::RequestGroup Group() const;
+  UpstreamQuery MakeQuery() const;
   std::optional<UpstreamPick> FindUpstream();
+  /// Before the silent or slow upstream of the present attempt is abandoned: finds another one and
+  /// connects to it. False while the request cannot go on elsewhere.
+  bool PrepareMove(std::uint32_t attempts_made);
+  /// Whether the request waits for an upstream until its deadline: its caller has the beginning of
+  /// a stream, or an upstream that might have answered it was abandoned.
+  bool KeepsLooking() const;
+  /// Waits a moment before a request that keeps looking tries again. Returns false, at once, for
+  /// others, when the time is over and after the caller has left.
+  bool PauseToResume();
+  static void Pause(Duration duration);
+  /// Waits for a place in the retry budget. False when there is none in time.
+  bool AwaitRetryBudget();
   AttemptParameters MakeAttemptParameters(const ListedUpstream& upstream) const;
   AttemptTimes MakeTimes(std::uint32_t attempts_made);
   NextStep MakeAttempt();
@@ -124,6 +139,8 @@
               std::optional<milliseconds> retry_after = std::nullopt);
   std::string LastModel() const;
   void RecordEnd(std::string_view outcome, int status, std::string_view reason);
+  /// Ends the request of a caller that has left.
+  void Cancel();
   /// Closes the connection without a complete answer, which its caller is still waiting for.
   void Cut(std::string_view reason);
   ActiveCall Describe() const;
@@ -154,6 +171,13 @@
   bool may_have_run = false;
   /// A retry that was granted while the attempt still ran, when its upstream was silent or slow.
   std::optional<routing::RetryDecision> granted_retry;
+  /// The upstream of that retry, with a connection to it.
+  UpstreamPick next_pick;
+  std::unique_ptr<UpstreamAttempt> next;
+  /// Whether an upstream was abandoned for another one.
+  bool moved = false;
+  /// Whether the next attempt still lacks a place in the retry budget.
+  bool awaits_retry = false;
   EventSplitter events;
   UpstreamPick last_pick;
   std::string last_attempt_end;
