--- a/test/fakes/storage_files.h
+++ b/test/fakes/storage_files.h
@@ -1,8 +1,10 @@
 #ifndef MASTICRILL_TEST_FAKES_STORAGE_FILES_H_
 #define MASTICRILL_TEST_FAKES_STORAGE_FILES_H_
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -13,7 +15,9 @@
 #include "masticrill/common/random.h"
 #include "masticrill/storage/file_operations.h"
 
-/// FileOperations in memory, which fail at a chosen call and lose unsynced data in a crash.
+/// FileOperations in memory, which fail at a chosen call and lose unsynced data in a crash. After a
+/// failed sync, what was unsynced can still be read, but no later sync of the same file makes it
+/// durable.
 namespace masticrill::storage {
 
 class FakeFiles {
@@ -102,15 +106,23 @@
     if (const Errno error = this->CountCall()) {
       return error;
     }
-    this->handles.at(handle)->content.resize(size);
+    Inode& inode = *this->handles.at(handle);
+    inode.content.resize(size);
+    inode.dropped_end = std::min<std::size_t>(inode.dropped_end, size);
     return 0;
   }
 
   Errno Sync(FileHandle handle) {
+    Inode& inode = *this->handles.at(handle);
     if (const Errno error = this->CountCall()) {
+      inode.dropped_begin = std::min(inode.dropped_begin, inode.synced.size());
+      inode.dropped_end = inode.content.size();
       return error;
     }
-    this->handles.at(handle)->synced = this->handles.at(handle)->content;
+    inode.synced = inode.content;
+    for (std::size_t at = inode.dropped_begin; at < inode.dropped_end; ++at) {
+      inode.synced[at] = '\0';
+    }
     return 0;
   }
 
@@ -145,9 +157,16 @@
   struct Inode {
     std::string content;
     std::string synced;
+    /// The bytes that a failed sync dropped: zero after a crash.
+    std::size_t dropped_begin = std::numeric_limits<std::size_t>::max();
+    std::size_t dropped_end = 0;
   };
 
   static void Tear(Inode& inode, Random& random) {
+    if (inode.dropped_begin < inode.dropped_end) {
+      inode.content = inode.synced;
+    }
+    inode.dropped_end = 0;
     const bool grew = inode.content.starts_with(inode.synced);
     if (grew) {
       const std::size_t extra = inode.content.size() - inode.synced.size();
--- a/test/storage/file_log_storage_test.cc
+++ b/test/storage/file_log_storage_test.cc
@@ -146,6 +146,74 @@
   }
 }
 
+// Failure: a storage that is opened again after a failed sync reads what the operating system has
+// dropped, counts it as durable, and a later loss of power takes it away.
+TEST_CASE("what a load returns after a failure at any call survives a crash") {
+  constexpr std::uint64_t kSeeds = 8;
+  constexpr std::uint64_t kCalls = 60;
+  constexpr Index kEntries = 24;
+  constexpr Index kSnapshotIndex = 9;
+  for (std::uint64_t call = 1; call <= kCalls; ++call) {
+    for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+      CAPTURE(call);
+      CAPTURE(seed);
+      Random random(seed);
+      FakeFilesHarness harness;
+      harness.files.failure = ENOSPC;
+      auto& storage = harness.Open();
+      LoadOf(storage);
+      REQUIRE_FALSE(ErrorOf([&] { return storage.SaveHardState({1, {}}); }));
+      harness.FailCall(call);
+      Index synced = 0;
+      std::optional<Error> error;
+      for (Index index = 1; index <= kEntries && !error; ++index) {
+        error = ErrorOf([&]() -> Result<void> {
+          BOOST_LEAF_CHECK(storage.Append(Commands(index, index, 1)));
+          BOOST_LEAF_CHECK(storage.Sync());
+          synced = index;
+          BOOST_LEAF_CHECK(storage.SaveHardState({1 + index, {}}));
+          if (index == kSnapshotIndex) {
+            BOOST_LEAF_CHECK(storage.SaveSnapshot({index, 1, "members", "state"}));
+            BOOST_LEAF_CHECK(storage.CompactPrefix(index));
+          }
+          return {};
+        });
+      }
+      const StoredState before = LoadOf(harness.Open());
+      const StoredState after = LoadOf(harness.Crash(random));
+      CHECK(after.entries == before.entries);
+      CHECK(after.hard_state == before.hard_state);
+      CHECK((after.snapshot != nullptr) == (before.snapshot != nullptr));
+      const Index last = before.entries.empty() ? 0 : before.entries.back().index;
+      CHECK(last >= synced);
+    }
+  }
+}
+
+// Failure: a load whose own sync fails is tried again, and counts what the first one read.
+TEST_CASE("what a load returns after a load that failed at any call survives a crash") {
+  constexpr std::uint64_t kSeeds = 8;
+  constexpr std::uint64_t kCalls = 8;
+  for (std::uint64_t call = 1; call <= kCalls; ++call) {
+    for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+      CAPTURE(call);
+      CAPTURE(seed);
+      Random random(seed);
+      FakeFilesHarness harness;
+      FillThreeSegments(harness);
+      auto& killed = harness.Open();
+      LoadOf(killed);
+      REQUIRE_FALSE(ErrorOf([&] { return killed.Append(Commands(17, 18, 1)); }));
+      harness.files.failure = ENOSPC;
+      harness.FailCall(call);
+      LoadError(harness);
+      const StoredState before = LoadOf(harness.Open());
+      CHECK(before.entries == Commands(1, 18, 1));
+      CHECK(LoadOf(harness.Crash(random)).entries == before.entries);
+    }
+  }
+}
+
 TEST_CASE("a second process on the folder is refused") {
   PosixHarness harness;
   LoadOf(harness.Open());
