Report an exhausted quota as a full disk in the small files of a control host

The log's storage maps ENOSPC and EDQUOT to kStorageFull; durable_file.cc mapped only ENOSPC, so the same fault had two kinds, by the file it met. One function now names both. Found by reading; the log's mapping has a test ("after a full disk or a failed sync"), that of the small files has none: real files give no EDQUOT without a quota.

--- a/include/masticrill/storage/file_operations.h
+++ b/include/masticrill/storage/file_operations.h
@@ -1,6 +1,7 @@
 #ifndef MASTICRILL_STORAGE_FILE_OPERATIONS_H_
 #define MASTICRILL_STORAGE_FILE_OPERATIONS_H_
 
+#include <cerrno>
 #include <concepts>
 #include <cstdint>
 #include <string>
@@ -11,6 +12,8 @@
 
 /// The errno of a failed call; 0 on success.
 using Errno = int;
+/// Whether the error tells that the disk or the user's quota has no room left.
+constexpr bool IsDiskFull(Errno error) { return error == ENOSPC || error == EDQUOT; }
 /// A handle of an open file.
 using FileHandle = int;
 
--- a/src/control/durable_file.cc
+++ b/src/control/durable_file.cc
@@ -19,7 +19,7 @@
   if (error == 0) {
     return {};
   }
-  return Fail(error == ENOSPC ? ErrorKind::kStorageFull : ErrorKind::kStorageFailed,
+  return Fail(storage::IsDiskFull(error) ? ErrorKind::kStorageFull : ErrorKind::kStorageFailed,
               "Cannot access " + path + " (" + std::strerror(error) +
                   "). Check the disk and the folder's owner.");
 }
