Take a replica back after a failed sync: a load writes the end of the log anew

A file system that finds room late reports a full disk at the sync, and a replica whose sync had failed never started again: what can be read then may not be durable, and a second sync of the same file reports success for it.

A load now writes the last segment into a new file, syncs, renames it and syncs the folder, before anything it read counts. What was synced before the failure is in it; the rest becomes durable or is cut. So nothing has to be remembered across processes, and NeedsRestart no longer excludes failed syncs. It also closes a case without any restart in place: a load whose own sync failed, tried again, counted what the first one had read. Segments are 4 MiB, not 16, since each load writes one anew. The format of the files is unchanged.

--- a/include/masticrill/control/control_server.h
+++ b/include/masticrill/control/control_server.h
@@ -41,10 +41,10 @@
   /// Makes the next start with this data folder begin without its content, as a new replica. Safe
   /// while this one still writes; durable on return.
   Result<void> DiscardData();
-  /// Whether the replica has stopped since its disk refused a write, and its data folder takes
-  /// writes again. The replica never votes again by itself: destroy this server and start another
-  /// one. False after a failed sync, since data that can be read may then still be lost. Writes to
-  /// the disk after such an error.
+  /// Whether the replica has stopped since its disk failed a write or a sync, and its data folder
+  /// takes writes again. The replica never votes again by itself: destroy this server and start
+  /// another one, which writes anew what may not be durable. Writes to the disk after such an
+  /// error.
   bool NeedsRestart() const;
 
   /// Planned stop: rejects new changes, transfers leadership, ends requests in progress and syncs
--- a/include/masticrill/storage/file_log_storage.h
+++ b/include/masticrill/storage/file_log_storage.h
@@ -1,7 +1,6 @@
 #ifndef MASTICRILL_STORAGE_FILE_LOG_STORAGE_H_
 #define MASTICRILL_STORAGE_FILE_LOG_STORAGE_H_
 
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -21,8 +20,9 @@
 
 struct FileLogOptions {
   std::string folder;
-  /// An append to a segment of at least this size starts the next segment.
-  std::size_t segment_bytes = std::size_t{16} << 20U;
+  /// An append to a segment of at least this size starts the next segment. A load writes the last
+  /// segment anew, which needs room and time in proportion.
+  std::size_t segment_bytes = std::size_t{4} << 20U;
   /// Whether the folder is in a private file system in memory, which no other process can reach and
   /// which ends with this process. Such file systems support neither locks nor renames, so the
   /// folder is not locked and files are overwritten in place.
@@ -50,6 +50,7 @@
 
   /// Fails with kConflict when another process uses the folder, and with kCorruptStorage when
   /// durable data is missing or damaged. An incomplete record at the end of the log is removed.
+  /// What it returns is durable, also after an earlier failure of a write or a sync.
   Result<StoredState> Load();
   Result<void> Append(std::span<const LogEntry> entries);
   Result<void> TruncateSuffix(Index first);
@@ -60,9 +61,6 @@
 
   /// The bytes written to the log by this object, including the headers of the records.
   std::uint64_t LogBytesWritten() const { return this->log_bytes_written; }
-  /// Whether a sync has failed: data that can still be read may then never become durable. May be
-  /// called by any thread.
-  bool SyncFailed() const { return this->sync_failed; }
 
  private:
   struct Segment {
@@ -75,7 +73,6 @@
   std::string Path(std::string_view name) const;
   std::string SegmentPath(std::uint64_t number) const;
   Result<void> CheckErrno(Errno error, std::string_view action);
-  Result<void> CheckSync(Errno error, std::string_view action);
   Result<void> CheckUsable() const;
   Result<void> FailCorrupt(const std::string& name, std::string_view fault);
   Result<void> ReplaceFile(std::string_view name, std::string_view content);
@@ -92,7 +89,6 @@
   Files& files;
   /// The first error. Every later call returns it.
   std::optional<Error> failure;
-  std::atomic<bool> sync_failed = false;
   std::deque<Segment> segments;
   /// The last segment, open for appending.
   std::optional<FileHandle> tail_handle;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -287,8 +287,7 @@
 bool ControlServer::IsRetired() const { return this->state->joiner->IsRetired(); }
 
 bool ControlServer::NeedsRestart() const {
-  return this->state->replica->Status().stopped && !this->state->replica->SyncFailed() &&
-         TakesWrites(this->state->options.data_folder);
+  return this->state->replica->Status().stopped && TakesWrites(this->state->options.data_folder);
 }
 
 Result<void> ControlServer::DiscardData() {
--- a/src/control/replica_runner.h
+++ b/src/control/replica_runner.h
@@ -91,8 +91,6 @@
     }
   }
   consensus::DriverStatus Status() const { return this->driver->Status(); }
-  /// Whether a sync of the data folder has failed.
-  bool SyncFailed() const { return this->storage.SyncFailed(); }
 
   const LatencySummary& ApplyLatency() const { return this->machine.ApplyLatency(); }
   const LatencySummary& SyncLatency() const { return this->storage.SyncLatency(); }
