Retry a failed write of the outcome log

Operators saw masticrill_control_outcome_log_failed at 1 until a restart, and the host's log without the records since then, after a disk had been full for a moment: the writer stopped for good at its first failed write.

The writer tries again each second. The log leaves the file of the failed append, since a later sync of it may report dropped data as durable, and appends the same records to a new file; a reader takes a record that two files hold once, from the later file. Records that memory no longer holds count as a gap, as before.

--- a/src/control/outcome_log.cc
+++ b/src/control/outcome_log.cc
@@ -1,9 +1,9 @@
 #include "control/outcome_log.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <cstdio>
 #include <cstring>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -111,9 +111,9 @@
   if (error == 0) {
     return {};
   }
-  return Fail(error == ENOSPC ? ErrorKind::kStorageFull : ErrorKind::kStorageFailed,
-              "The outcome log cannot access " + path + " (" + std::strerror(error) +
-                  "). Check the disk and start the process again.");
+  return Fail(
+      storage::IsDiskFull(error) ? ErrorKind::kStorageFull : ErrorKind::kStorageFailed,
+      "The outcome log cannot access " + path + " (" + std::strerror(error) + "). Check the disk.");
 }
 
 Result<void> OutcomeLog::Open() {
@@ -165,14 +165,25 @@
   return this->Check(this->files.SyncFolder(this->folder), this->folder);
 }
 
+/// Leaves the file of a failed append: a failed sync may have dropped data that a later sync of the
+/// same file would report as durable. Records that stay in it are replaced by those of the next
+/// file.
+void OutcomeLog::CloseFile() {
+  if (this->handle) {
+    this->files.Truncate(*this->handle, this->bytes);
+    this->files.Close(*std::exchange(this->handle, std::nullopt));
+  }
+}
+
 Result<void> OutcomeLog::Append(const std::vector<state::ChainedRecord>& records) {
   if (records.empty()) {
     return {};
   }
-  const bool gap = records.front().sequence != this->last.sequence + 1;
-  if (gap) {
-    ++this->gaps;
+  if (this->append_failed) {
+    this->CloseFile();
   }
+  this->append_failed = true;
+  const bool gap = records.front().sequence != this->last.sequence + 1;
   if (gap || !this->handle || this->bytes > kMaxFileBytes) {
     BOOST_LEAF_CHECK(this->StartFile(records.front().sequence));
   }
@@ -182,6 +193,8 @@
   }
   BOOST_LEAF_CHECK(this->Check(this->files.Write(*this->handle, framed), this->folder));
   BOOST_LEAF_CHECK(this->Check(this->files.Sync(*this->handle), this->folder));
+  this->append_failed = false;
+  this->gaps += gap ? 1 : 0;
   this->bytes += framed.size();
   this->last = {records.back().sequence, records.back().hash};
   return {};
@@ -201,8 +214,11 @@
     if (files.ReadAll(path, content) != 0) {
       return Fail(ErrorKind::kStorageFailed, "Cannot read " + path + ". Check the disk.");
     }
+    // A later file replaces the records from its first one on.
+    const std::uint64_t end =
+        index + 1 < firsts.size() ? firsts[index + 1] : std::numeric_limits<std::uint64_t>::max();
     for (state::ChainedRecord& record : Parse(content).records) {
-      if (record.sequence > after && found.size() < limit) {
+      if (record.sequence > after && record.sequence < end && found.size() < limit) {
         found.push_back(std::move(record));
       }
     }
--- a/src/control/outcome_log.h
+++ b/src/control/outcome_log.h
@@ -27,7 +27,8 @@
   Result<void> Open();
   /// Renames the last file, so that Open leaves it out. Called after Open has failed.
   Result<void> SetLastFileAside();
-  /// Appends the records in order; durable on return.
+  /// Appends the records in order; durable on return. After a failure none of them counts, and the
+  /// same records may be appended again.
   Result<void> Append(const std::vector<state::ChainedRecord>& records);
 
   /// The last record in the files.
@@ -37,12 +38,15 @@
 
  private:
   Result<void> StartFile(std::uint64_t first);
+  void CloseFile();
   Result<void> Check(storage::Errno error, const std::string& path) const;
 
   std::string folder;
   storage::PosixFiles files;
   std::optional<storage::FileHandle> handle;
+  /// The bytes of the current file that are durable.
   std::uint64_t bytes = 0;
+  bool append_failed = false;
   state::ChainPoint last;
   std::uint64_t gaps = 0;
 };
--- a/src/control/outcome_writer.cc
+++ b/src/control/outcome_writer.cc
@@ -10,6 +10,7 @@
 
 constexpr Logger kLog(LogPart::kControl);
 constexpr Duration kWriteInterval = milliseconds(100);
+constexpr Duration kRetryInterval = milliseconds(1000);
 constexpr std::size_t kMaxRecordsPerWrite = 4096;
 
 }  // namespace
@@ -55,9 +56,9 @@
 }
 
 Duration OutcomeWriter::Write() {
-  while (!this->failed && this->WriteBatch()) {
+  while (this->WriteBatch()) {
   }
-  return kWriteInterval;
+  return this->failed ? kRetryInterval : kWriteInterval;
 }
 
 /// Writes the next batch of records. Returns whether more may be pending.
@@ -69,11 +70,16 @@
         return true;
       },
       [&](const Error& error) {
-        kLog.Error("Writing the outcome log failed; nothing more is written until a restart.",
-                   {{"cause", error.message}});
-        this->failed = true;
+        if (!this->failed) {
+          kLog.Error("Writing the outcome log failed; retrying until the disk takes the records.",
+                     {{"cause", error.message}});
+        }
         return false;
       });
+  if (written && this->failed && !records.empty()) {
+    kLog.Info("The outcome log is written again.", {{"sequence", this->log.Last().sequence}});
+  }
+  this->failed = !written;
   this->last_sequence = this->log.Last().sequence;
   this->gaps = this->log.Gaps();
   return written && records.size() == kMaxRecordsPerWrite;
--- a/src/control/outcome_writer.h
+++ b/src/control/outcome_writer.h
@@ -12,8 +12,8 @@
 
 namespace masticrill::control {
 
-/// Copies the records of the replicated state to the outcome log, on a thread of its own. After a
-/// failed write, nothing more is written until the process restarts. Getters are thread-safe.
+/// Copies the records of the replicated state to the outcome log, on a thread of its own. A
+/// failed write is retried, with the records that are still retained. Getters are thread-safe.
 class OutcomeWriter {
  public:
   /// Opens the log, and sets damaged files of it aside: the replica does not need them, and the
@@ -26,6 +26,7 @@
 
   std::uint64_t LastSequence() const { return this->last_sequence; }
   std::uint64_t Gaps() const { return this->gaps; }
+  /// Whether the last write failed.
   bool Failed() const { return this->failed; }
   const std::string& Folder() const { return this->folder; }
 
--- a/test/control/outcome_log_test.cc
+++ b/test/control/outcome_log_test.cc
@@ -4,7 +4,10 @@
 
 #include <fstream>
 
+#include "control/outcome_writer.h"
 #include "fakes/control_cluster.h"
+#include "masticrill/state/codec.h"
+#include "masticrill/state/replicated_state.h"
 
 namespace masticrill::control {
 namespace {
@@ -122,6 +125,75 @@
                   .intact);
 }
 
+// Failure: a disk that was full for a moment ends the outcome log until the process restarts.
+TEST_CASE("records that a full disk refused are appended again, each once") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary.Path().string();
+  const std::vector<state::ChainedRecord> records = MakeChain(10);
+  const std::filesystem::path first = temporary.Path() / "outcomes-00000000000000000001";
+  // A file that takes writes and refuses to be synced, then one that refuses writes.
+  for (const char* const device : {"/dev/null", "/dev/full"}) {
+    CAPTURE(device);
+    std::filesystem::remove(first);
+    std::filesystem::create_symlink(device, first);
+    OutcomeLog log(folder);
+    CHECK(Message([&] { return log.Append(Part(records, 0, 4)); }) != "");
+    CHECK(log.Last().sequence == 0);
+    std::filesystem::remove(first);
+    REQUIRE(Message([&] { return log.Append(records); }) == "");
+    CHECK(log.Last().sequence == 10);
+    CHECK(log.Gaps() == 0);
+    CHECK(ReadAll(folder, 0) == records);
+    OutcomeLog reopened(folder);
+    REQUIRE(Message([&] { return reopened.Open(); }) == "");
+    CHECK(reopened.Last().sequence == 10);
+  }
+}
+
+TEST_CASE("a record that stands in two files of the outcome log is read once") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary.Path().string();
+  const std::vector<state::ChainedRecord> records = MakeChain(6);
+  {
+    OutcomeLog whole(folder);
+    REQUIRE(Message([&] { return whole.Append(records); }) == "");
+  }
+  OutcomeLog later(folder);
+  REQUIRE(Message([&] { return later.Append(Part(records, 3, 6)); }) == "");
+  CHECK(ReadAll(folder, 0) == records);
+  CHECK(ReadAll(folder, 4).size() == 2);
+}
+
+// Failure: the writer stops for good after one failed write, though its replica goes on.
+TEST_CASE("the outcome writer goes on when the disk takes writes again") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary.Path().string();
+  state::ReplicatedState state;
+  const std::unique_ptr<OutcomeWriter> writer =
+      HandleErrors([&] { return OutcomeWriter::Start(folder, state); },
+                   [](const Error&) { return std::unique_ptr<OutcomeWriter>(); });
+  REQUIRE(writer);
+  const std::filesystem::path first =
+      temporary.Path() / "outcomes" / "outcomes-00000000000000000001";
+  std::filesystem::create_symlink("/dev/full", first);
+  constexpr std::uint64_t kCharges = 3;
+  constexpr WallTimeMs kReceivedAt = 10'000'000;
+  for (std::uint64_t index = 1; index <= kCharges; ++index) {
+    state::ChargeLine line;
+    line.request = RequestId("r" + std::to_string(index));
+    line.cost = index;
+    line.received_at = kReceivedAt;
+    state.Apply(index, state::EncodeCommand(state::Charge{line, kReceivedAt}));
+  }
+  REQUIRE(state.ChainHead().sequence == kCharges);
+  REQUIRE(WaitUntil([&] { return writer->Failed(); }));
+  std::filesystem::remove(first);
+  CHECK(WaitUntil([&] { return !writer->Failed(); }));
+  CHECK(WaitUntil([&] { return writer->LastSequence() == kCharges; }));
+  CHECK(ReadAll(writer->Folder(), 0) == state.RecordsAfter(0, 100));
+  writer->Stop();
+}
+
 // Failure: after a loss of power the replica never starts again, because of an auxiliary file.
 TEST_CASE("a control host whose outcome log is damaged starts and serves") {
   ControlCluster cluster(1);
