--- a/test/control/full_disk_test.cc
+++ b/test/control/full_disk_test.cc
@@ -1,8 +1,10 @@
 #include <doctest/doctest.h>
 
 #include <filesystem>
+#include <optional>
 
 #include "fakes/control_cluster.h"
+#include "masticrill/control/storage_wait.h"
 
 namespace masticrill::control {
 namespace {
@@ -124,5 +126,51 @@
   }
 }
 
+// Failure: a host whose disk is full while it starts ends its process, or leaves operators without
+// an answer until there is room.
+TEST_CASE("a host whose data folder refuses writes rejects operators until it can start") {
+  ControlCluster cluster(3, FrequentSnapshots());
+  cluster.StartAll();
+  Changes changes(cluster);
+  const std::size_t host = cluster.Follower();
+  cluster.Crash(host);
+  const std::filesystem::path folder = cluster.FolderOf(host);
+  // A folder that cannot be removed as a file in the place of a temporary file.
+  const std::filesystem::path obstacle = folder / "replica" / "snapshot.tmp";
+  std::filesystem::create_directories(obstacle);
+  const std::filesystem::path check = folder / "write_check.new";
+  std::filesystem::create_directory(check);
+  const std::optional<Error> error = HandleErrors(
+      [&]() -> Result<std::optional<Error>> {
+        BOOST_LEAF_AUTO(server, ControlServer::Start(cluster.Options(host)));
+        server->Stop();
+        return std::optional<Error>();
+      },
+      [](const Error& failure) { return std::optional<Error>(failure); });
+  REQUIRE(error);
+  CHECK(StorageWait::IsRemedy(*error));
+  {
+    const std::unique_ptr<StorageWait> wait =
+        HandleErrors([&] { return StorageWait::Start(cluster.Options(host)); },
+                     [](const Error&) { return std::unique_ptr<StorageWait>(); });
+    REQUIRE(wait);
+    CHECK_FALSE(wait->TakesWrites());
+    const net::HttpAnswer answer = HandleErrors(
+        [&] {
+          net::HttpClient client(wait->HttpAddress(), {});
+          return client.Call(PatchCall(1, "p-1", TeamPatch("one")));
+        },
+        [](const Error&) { return net::HttpAnswer{.status = 0, .headers = {}, .body = ""}; });
+    CHECK(answer.status == 503);
+    std::filesystem::remove(check);
+    CHECK(wait->TakesWrites());
+  }
+  // The check may pass while the start still fails.
+  CHECK(cluster.TryStart(host) != "");
+  std::filesystem::remove(obstacle);
+  CHECK(cluster.TryStart(host) == "");
+  CHECK(WaitUntil([&] { return changes.Commit(host); }));
+}
+
 }  // namespace
 }  // namespace masticrill::control
