Soak: runs of planned work, with full disks, cut answers and an evacuation at the closing fault

A second kind of run beside the present one, whose seeds and draws stay as they are: stops in series and overlapping, of young processes too, under reloads, changes, slow bodies and long work; then disks that take no writes one after another while answers of an upstream end in the head or body; then the end of all processes at once, with one disk lost and an evacuation just acknowledged.

--- a/test/soak/caller.h
+++ b/test/soak/caller.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "masticrill/net/socket_stream.h"
 #include "soak/fleet.h"
 #include "soak/records.h"
+#include "soak/stop_log.h"
 
 namespace masticrill::soak {
 
@@ -22,6 +24,9 @@
   bool is_stream = false;
   /// Whether the answer ended as its header fields say.
   bool complete = false;
+  /// When the last byte of the request was written; none unless all of it was.
+  std::optional<TimePoint> sent_whole_at = std::nullopt;
+  TimePoint ended_at = {};
 };
 
 /// A caller's connection, used for one request after another until the other side ends it.
@@ -31,6 +36,8 @@
   Reply Ask(const Attempt& attempt, const std::string& key);
 
  private:
+  /// Writes a request, its body in pieces over the time that the attempt says.
+  bool Send(const Attempt& attempt, const std::string& key, TimePoint deadline);
   Reply Read(TimePoint deadline);
   bool ReadChunks(TimePoint deadline, std::string& body);
   /// Takes bytes up to and with the mark, or `count` bytes.
@@ -41,11 +48,14 @@
   std::unique_ptr<net::SocketStream> socket;
 };
 
-/// Keeps asking all entries and checks each answer. What ran is compared at the end.
+/// Keeps asking all entries and checks each answer. What ran is compared at the end. With a log of
+/// stops, the callers mostly ask entries that are stopping, for work that takes long, and some send
+/// their bodies slowly; each request that was read must then be answered.
 class Callers {
  public:
   Callers(std::uint64_t seed, std::size_t count, const Fleet& fleet,
-          const Acknowledged& acknowledged, const Calm& calm, Timeline& timeline);
+          const Acknowledged& acknowledged, const Calm& calm, Timeline& timeline,
+          const StopLog* stops = nullptr);
   ~Callers();
   Callers(const Callers&) = delete;
   Callers& operator=(const Callers&) = delete;
@@ -60,19 +70,29 @@
     Attempt attempt;
     int status = 0;
     bool complete = false;
+    /// Whether nothing but planned work touched the fleet.
     bool was_calm = false;
+    /// Whether planned work did not touch the host either.
+    bool was_in_touch = false;
+    std::optional<TimePoint> sent_whole_at = std::nullopt;
+    TimePoint ended_at = {};
   };
 
   void Run(Random random, std::size_t caller);
   Attempt Choose(Random& random, const std::string& id) const;
+  HostAddresses ChooseHost(Random& random) const;
+  void AddWork(Random& random, Attempt& attempt) const;
   void Check(const Outcome& outcome, const Reply& reply);
   void CheckStream(const Attempt& attempt, const Reply& reply);
   void CheckRun(const Outcome& outcome, const soak::Run& run);
+  /// Checks that a request that was read around planned work was answered.
+  void CheckAnswered(const Outcome& outcome, const soak::Run* last_run);
 
   const Fleet& fleet;
   const Acknowledged& acknowledged;
   const Calm& calm;
   Timeline& timeline;
+  const StopLog* stops;
   std::atomic<bool> stopping = false;
   std::atomic<std::size_t> served = 0;
   std::atomic<int> denied = 0;
--- a/test/soak/caller_connection.cc
+++ b/test/soak/caller_connection.cc
@@ -6,7 +6,7 @@
 namespace masticrill::soak {
 namespace {
 
-/// The timeout of all routes, and what a caller waits at most.
+/// What a caller waits at most.
 constexpr milliseconds kCallerPatience{6500};
 constexpr milliseconds kConnectTimeout{1000};
 
@@ -35,15 +35,13 @@
     return {};
   }
   const TimePoint deadline = clock.Now() + kCallerPatience;
-  const std::string body = "body of " + attempt.id;
-  const std::string text = "POST " + attempt.path +
-                           " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + attempt.id +
-                           "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer " + key +
-                           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   Reply reply;
-  if (this->socket->Write(text, deadline) == net::IoEnd::kDone) {
+  if (this->Send(attempt, key, deadline)) {
+    const TimePoint sent_whole_at = clock.Now();
     reply = this->Read(deadline);
+    reply.sent_whole_at = sent_whole_at;
   }
+  reply.ended_at = clock.Now();
   if (!reply.complete) {
     this->socket->Close();
     this->socket.reset();
@@ -51,6 +49,26 @@
   return reply;
 }
 
+bool CallerConnection::Send(const Attempt& attempt, const std::string& key, TimePoint deadline) {
+  const std::string body = "body of " + attempt.id;
+  const std::string head =
+      "POST " + attempt.path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + attempt.id +
+      "\r\nX-Deadline-Ms: " + std::to_string(kCallTimeout.count()) + "\r\nAuthorization: Bearer " +
+      key + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  if (attempt.body_time == Duration(0)) {
+    return this->socket->Write(head + body, deadline) == net::IoEnd::kDone;
+  }
+  constexpr std::size_t kPieces = 4;
+  bool written = this->socket->Write(head, deadline) == net::IoEnd::kDone;
+  for (std::size_t piece = 0; written && piece < kPieces; ++piece) {
+    std::this_thread::sleep_for(attempt.body_time / kPieces);
+    const std::size_t begin = body.size() * piece / kPieces;
+    const std::size_t end = body.size() * (piece + 1) / kPieces;
+    written = this->socket->Write(body.substr(begin, end - begin), deadline) == net::IoEnd::kDone;
+  }
+  return written;
+}
+
 Reply CallerConnection::Read(TimePoint deadline) {
   Reply reply;
   std::string head;
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -41,6 +41,8 @@
       return "cut back";
     case LinkFault::kSilence:
       return "silence";
+    case LinkFault::kCutAnswers:
+      return "cut answers";
     case LinkFault::kSilenceOld:
       return "silence of old connections";
   }
@@ -122,15 +124,42 @@
          (now == LinkFault::kCutBack && !flow.is_forward);
 }
 
+std::size_t FaultProxy::CutPlace(std::string_view answer) const {
+  constexpr std::string_view kProtocol = "HTTP/1.1";
+  constexpr std::string_view kLineEnd = "\r\n";
+  const std::size_t first_line = answer.find(kLineEnd);
+  const std::size_t head = answer.find("\r\n\r\n");
+  if (!answer.starts_with(kProtocol) || head == std::string_view::npos) {
+    return answer.size() / 2;
+  }
+  const std::size_t second_line = answer.find(kLineEnd, first_line + kLineEnd.size());
+  const std::size_t body = head + 2 * kLineEnd.size();
+  const std::array places = {kProtocol.size(),
+                             first_line,
+                             first_line + kLineEnd.size(),
+                             (first_line + second_line) / 2,
+                             second_line + kLineEnd.size(),
+                             head + kLineEnd.size(),
+                             body - 1,
+                             body,
+                             (body + answer.size()) / 2};
+  return places.at(this->cuts++ % places.size());
+}
+
 bool FaultProxy::Read(Flow& flow) const {
   std::array<char, 16384> buffer{};
-  const ssize_t count = recv(flow.from, buffer.data(), buffer.size(), 0);
+  ssize_t count = recv(flow.from, buffer.data(), buffer.size(), 0);
+  const bool cut = count > 0 && !flow.is_forward && this->fault == LinkFault::kCutAnswers;
+  if (cut) {
+    const std::string_view answer(buffer.data(), static_cast<std::size_t>(count));
+    count = static_cast<ssize_t>(this->CutPlace(answer));
+  }
   if (count > 0) {
     const bool delayed = this->fault == LinkFault::kDelay;
     flow.held.emplace_back(this->clock.Now() + (delayed ? Duration(kLinkDelay) : Duration(0)),
                            std::string(buffer.data(), static_cast<std::size_t>(count)));
   }
-  flow.source_ended = count == 0;
+  flow.source_ended = cut || count == 0;
   return count >= 0 || errno == EAGAIN || errno == EINTR;
 }
 
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <list>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -23,6 +24,7 @@
   kCutForward,  // Nothing reaches the target; answers still come back.
   kCutBack,     // Requests reach the target; nothing comes back.
   kSilence,     // Nothing is passed on; no connection ends.
+  kCutAnswers,  // Answers end in order after a part of their head or body.
   kSilenceOld,  // As kSilence for the connections that are open, for good; new ones work.
 };
 
@@ -63,6 +65,8 @@
   void Run();
   void Accept();
   bool IsBlocked(const Connection& connection, const Flow& flow) const;
+  /// The part of an answer that passes under kCutAnswers: each kind of cut in turn.
+  std::size_t CutPlace(std::string_view answer) const;
   /// Returns false when the connection broke.
   bool Read(Flow& flow) const;
   bool Write(Flow& flow) const;
@@ -74,6 +78,7 @@
   int listener = -1;
   SystemClock clock;
   std::atomic<LinkFault> fault = LinkFault::kNone;
+  mutable std::atomic<unsigned> cuts = 0;
   std::atomic<TimePoint> silent_before = TimePoint();
   std::atomic<bool> stopping = false;
   std::list<Connection> connections;
--- a/test/soak/fleet.cc
+++ b/test/soak/fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
@@ -19,7 +20,23 @@
 constexpr std::size_t kSeedCount = 3;
 constexpr std::array kCrashCodes = {128 + SIGABRT, 128 + SIGSEGV, 128 + SIGBUS, 128 + SIGILL,
                                     128 + SIGFPE};
-constexpr std::array kBlockedFiles = {"vote.tmp", "snapshot.tmp"};
+constexpr const char* kVoteFile = "replica/vote.tmp";
+constexpr const char* kSnapshotFile = "replica/snapshot.tmp";
+constexpr const char* kRoomCheckFile = "write_check.new";
+
+std::vector<std::string> FilesOf(DiskPart part) {
+  switch (part) {
+    case DiskPart::kBothFiles:
+      return {kVoteFile, kSnapshotFile};
+    case DiskPart::kVote:
+      return {kVoteFile, kRoomCheckFile};
+    case DiskPart::kSnapshot:
+      return {kSnapshotFile, kRoomCheckFile};
+    case DiskPart::kAll:
+      return {kVoteFile, kSnapshotFile, kRoomCheckFile};
+  }
+  return {};
+}
 
 /// A network of the loopback range for the hosts of one run of one process.
 std::string NextNetwork() {
@@ -30,6 +47,12 @@
          std::to_string(1 + (pid / kByte + run++) % kByte) + ".";
 }
 
+/// The program under test, or another build of it that the environment names.
+std::string Binary() {
+  const char* const other = std::getenv("MASTICRILL_SOAK_BINARY");
+  return other != nullptr ? other : MASTICRILL_BINARY;
+}
+
 std::string At(const Host& host, int port) { return host.ip + ":" + std::to_string(port); }
 
 }  // namespace
@@ -72,7 +95,7 @@
   std::vector<HostAddresses> next;
   for (const Host* host : this->Hosts()) {
     next.push_back({host->number, host->has_disk, host->caller_proxy->Address(),
-                    host->operator_proxy->Address()});
+                    At(*host, kCallerPort), host->operator_proxy->Address()});
   }
   const std::scoped_lock lock(this->mutex);
   this->addresses = std::move(next);
@@ -139,7 +162,7 @@
   std::filesystem::create_directories(temporary);
   this->WriteSettings(host, role);
   role.program = std::make_unique<Program>(
-      std::vector<std::string>{MASTICRILL_BINARY, "platform", role.name},
+      std::vector<std::string>{Binary(), "platform", role.name},
       std::vector<std::string>{"PATH=/usr/bin:/bin", "TMPDIR=" + temporary,
                                "MASTICRILL_SETTINGS=" + this->SettingsPath(host, role)},
       this->folder + "/host-" + std::to_string(host.number) + "-" + role.name + ".log");
@@ -186,9 +209,16 @@
   this->timeline.Add("empty the disk of host " + std::to_string(host.number));
 }
 
-void Fleet::BlockDisk(Host& host, bool blocked) {
-  for (const char* name : kBlockedFiles) {
-    const std::filesystem::path path = this->DataFolder(host) + "/replica/" + name;
+void Fleet::Reload(Host& host, Role& role) {
+  if (role.program != nullptr) {
+    role.program->Signal(SIGHUP);
+    this->timeline.Add("reload " + role.name + " on host " + std::to_string(host.number));
+  }
+}
+
+void Fleet::BlockDisk(Host& host, bool blocked, DiskPart part) {
+  for (const std::string& name : FilesOf(part)) {
+    const std::filesystem::path path = this->DataFolder(host) + "/" + name;
     std::error_code error;
     if (blocked) {
       std::filesystem::create_directories(path / "in-the-way", error);
--- a/test/soak/fleet.h
+++ b/test/soak/fleet.h
@@ -13,6 +13,9 @@
 
 namespace masticrill::soak {
 
+/// Which writes of a control host fail. All but kBothFiles also fail the check for room.
+enum class DiskPart { kBothFiles, kVote, kSnapshot, kAll };
+
 /// One program of a host.
 struct Role {
   std::string name;
@@ -41,6 +44,8 @@
   std::size_t number = 0;
   bool has_disk = false;
   std::string callers;
+  /// Where the entry itself listens, without a proxy.
+  std::string entry;
   std::string operators;
 };
 
@@ -65,7 +70,9 @@
   /// Empties the data folder of a control host that does not run.
   void Wipe(Host& host);
   /// Puts folders in the place of the temporary files of the replica, or takes them away.
-  void BlockDisk(Host& host, bool blocked);
+  void BlockDisk(Host& host, bool blocked, DiskPart part = DiskPart::kBothFiles);
+  /// Tells the program that its settings may have changed.
+  void Reload(Host& host, Role& role);
   /// Ends the host for good.
   void Remove(Host& host);
   /// Writes the seeds into all settings files; running programs are told or find out.
--- a/test/soak/operator.cc
+++ b/test/soak/operator.cc
@@ -100,6 +100,21 @@
   return std::nullopt;
 }
 
+bool Operator::Evacuate(const std::string& zone, TimePoint deadline, Random& random) {
+  const std::size_t first = random.Below(this->fleet.Addresses().size());
+  for (std::size_t turn = first; this->timeline.Now() < deadline; ++turn) {
+    const std::vector<HostAddresses> hosts = this->fleet.Addresses();
+    const HostAddresses& host = hosts.at(turn % hosts.size());
+    if (Call(host, {"POST", "/v1/evacuations/" + zone}).status / 100 == 2) {
+      this->timeline.Add("evacuation of " + zone + " acknowledged by host " +
+                         std::to_string(host.number));
+      return true;
+    }
+    std::this_thread::sleep_for(kRetryPause);
+  }
+  return false;
+}
+
 bool Operator::Put(const HostAddresses& host, std::uint64_t revision) {
   const net::HttpAnswer answer = Call(host, {"PUT", "/v1/config", {}, Configuration(revision)});
   if (answer.status == 400) {
--- a/test/soak/operator.h
+++ b/test/soak/operator.h
@@ -31,6 +31,9 @@
   /// Sends the next revision to one host after another until it is acknowledged. Returns the number
   /// of the host that did.
   std::optional<std::size_t> Change(TimePoint deadline, Random& random);
+  /// Takes a zone out, at one host after another, until that is acknowledged. Returns whether it
+  /// was.
+  bool Evacuate(const std::string& zone, TimePoint deadline, Random& random);
   /// The revision that a host reads back; none when it gives no answer. The answer is checked.
   std::optional<std::uint64_t> Read(const HostAddresses& host);
 
--- a/test/soak/records.h
+++ b/test/soak/records.h
@@ -33,6 +33,10 @@
   std::uint64_t key_revision = 0;
   /// Whether no configuration holds the route or the key.
   bool forbidden = false;
+  /// The host to whose entry it goes.
+  std::size_t host = 0;
+  /// How long the sending of the body takes.
+  Duration body_time{0};
   TimePoint sent_at = {};
 };
 
@@ -43,6 +47,12 @@
   std::string team;
   bool has_key = false;
   std::string body;
+  std::string worker;
+  /// When the upstream began to work and when it ended.
+  TimePoint begun_at = {};
+  TimePoint ended_at = {};
+  /// Whether the upstream broke off, or failed, by itself.
+  bool broke_off = false;
 };
 
 /// The configurations that operators sent, and when the first of each was acknowledged.
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -4,12 +4,19 @@
 #include "soak/fault_plan.h"
 #include "soak/membership_check.h"
 #include "soak/operator.h"
+#include "soak/planned_work.h"
 
 namespace masticrill::soak {
 namespace {
 
 constexpr std::size_t kUpstreams = 3;
 constexpr std::size_t kCallers = 6;
+constexpr std::size_t kCallersOfPlannedWork = 20;
+/// Every so many seeds of planned work have a large fleet, with so many more hosts.
+constexpr std::uint64_t kLargeEvery = 5;
+constexpr std::size_t kMoreObservers = 15;
+constexpr int kFullDisks = 4;
+constexpr int kEvacuationProbes = 10;
 constexpr Duration kFaultSpan = seconds(15);
 /// All processes are back this long after the closing fault, at most.
 constexpr int kClosingRestartMs = 800;
@@ -18,7 +25,12 @@
 
 /// How many hosts a fleet has at its first start.
 struct FleetSize {
-  explicit FleetSize(Random& random) : observers(2 + random.Below(2)), disks(3 + random.Below(3)) {}
+  FleetSize(RunKind kind, std::uint64_t seed, Random& random)
+      : observers(2 + random.Below(2)), disks(3 + random.Below(3)) {
+    if (kind == RunKind::kPlannedWork && seed % kLargeEvery == 0) {
+      this->observers += kMoreObservers;
+    }
+  }
 
   std::size_t observers;
   std::size_t disks;
@@ -26,31 +38,42 @@
 
 class SoakRun {
  public:
-  SoakRun(std::uint64_t seed, const std::string& folder)
-      : random(seed),
-        size(this->random),
+  SoakRun(RunKind kind, std::uint64_t seed, const std::string& folder)
+      : kind(kind),
+        random(seed),
+        size(kind, seed, this->random),
         upstreams(kUpstreams),
         fleet(folder, this->upstreams.ListAddress(), this->size.disks, this->size.observers,
               this->timeline),
         plan(seed, this->fleet, this->upstreams, this->calm, this->timeline),
+        work(seed, this->fleet, this->upstreams, this->calm, this->stops, this->timeline),
         operators(this->fleet, this->acknowledged, this->timeline),
         seed(seed) {}
 
   SoakReport Run() {
     if (this->Form()) {
-      Callers callers(this->seed, kCallers, this->fleet, this->acknowledged, this->calm,
-                      this->timeline);
+      const bool is_planned = this->kind == RunKind::kPlannedWork;
+      Callers callers(this->seed, is_planned ? kCallersOfPlannedWork : kCallers, this->fleet,
+                      this->acknowledged, this->calm, this->timeline,
+                      is_planned ? &this->stops : nullptr);
       this->operators.Begin(this->seed);
-      this->plan.Run(kFaultSpan);
-      this->StopAnEntry();
-      this->plan.RunCalm(std::max(this->plan.LostUntil(), this->timeline.Now() + kCatchUp));
-      this->operators.Stop();
+      if (is_planned) {
+        this->RunPlannedWork();
+      } else {
+        this->plan.Run(kFaultSpan);
+        this->StopAnEntry();
+        this->plan.RunCalm(std::max(this->plan.LostUntil(), this->timeline.Now() + kCatchUp));
+        this->operators.Stop();
+      }
       this->CheckGroup(this->timeline.Now() + kRecovery, "after the faults");
       this->CloseWithFault();
       const TimePoint deadline = this->timeline.Now() + kRecovery;
       this->CheckGroup(deadline, "after the closing fault");
       // Last, as entries go on serving with their leases for a while.
       this->CheckEntries(deadline);
+      if (is_planned) {
+        this->CheckEvacuation();
+      }
       callers.Stop();
       callers.CheckRuns(this->upstreams.Runs());
       this->timeline.Add(std::to_string(callers.Served()) + " requests were served");
@@ -94,6 +117,38 @@
     this->fleet.Stop(host, host.entry);
   }
 
+  void RunPlannedWork() {
+    this->work.RunStops(kFaultSpan);
+    this->work.RunFullDisks(kFullDisks);
+    this->operators.Stop();
+    this->plan.RunCalm(this->timeline.Now() + kContact);
+    if (!this->operators.Change(this->timeline.Now() + kAcknowledge, this->random)) {
+      this->timeline.Fail("ACKS", "no change is acknowledged though all disks have room again");
+    }
+    this->plan.RunCalm(this->timeline.Now() + kCatchUp);
+  }
+
+  /// No entry may use the upstream that was taken out before the closing fault.
+  void CheckEvacuation() {
+    this->plan.RunCalm(this->timeline.Now() + kEvacuate);
+    const std::string prefix = std::string(kProbePrefix) + "evacuated-";
+    for (const HostAddresses& host : this->fleet.Addresses()) {
+      CallerConnection connection(host.entry);
+      for (int number = 0; number < kEvacuationProbes; ++number) {
+        Attempt attempt;
+        attempt.id = prefix + std::to_string(host.number) + "-" + std::to_string(number);
+        attempt.path = "/safe/" + attempt.id;
+        connection.Ask(attempt, "key-0");
+      }
+    }
+    for (const soak::Run& run : this->upstreams.Runs()) {
+      if (this->evacuated && run.id.starts_with(prefix) && run.worker == *this->evacuated) {
+        this->timeline.Fail("LOST", "the acknowledged evacuation of " + run.worker +
+                                        " is gone: " + run.id + " ran there");
+      }
+    }
+  }
+
   /// By the deadline each control host must read back the newest acknowledged configuration, and a
   /// change must be possible.
   void CheckGroup(TimePoint deadline, const std::string& when) {
@@ -127,8 +182,14 @@
 
   /// Right after an acknowledgement, one disk is lost and all other processes end with it.
   void CloseWithFault() {
+    if (this->kind == RunKind::kPlannedWork && this->random.Below(2) == 0) {
+      this->EvacuateOne();
+    }
     const std::optional<std::size_t> by =
         this->operators.Change(this->timeline.Now() + kRecovery, this->random);
+    if (this->kind == RunKind::kPlannedWork && !this->evacuated) {
+      this->EvacuateOne();
+    }
     const std::vector<Host*> disks = this->fleet.DiskHosts();
     Host* lost = disks.at(this->random.Below(disks.size()));
     for (Host* host : disks) {
@@ -136,11 +197,14 @@
         lost = host;
       }
     }
-    const bool alone = this->random.Below(4) == 0;
+    const bool alone = this->random.Below(4) == 0 && this->kind == RunKind::kFaults;
     this->timeline.Add("closing fault: host " + std::to_string(lost->number) + " loses its disk, " +
                        (alone ? "alone" : "all processes end"));
     std::vector<Host*> hit = alone ? std::vector<Host*>{lost} : this->fleet.Hosts();
     this->calm.Disturb(this->timeline.Now() + kRecovery);
+    if (this->kind == RunKind::kPlannedWork) {
+      this->KillAtOnce(hit);
+    }
     for (Host* host : hit) {
       this->fleet.Kill(*host, host->control);
       this->fleet.Kill(*host, host->entry);
@@ -149,14 +213,41 @@
       CheckMembership(this->fleet, this->timeline);
     }
     this->fleet.Wipe(*lost);
+    const std::uint64_t order = this->kind == RunKind::kPlannedWork ? this->random.Below(5) : 0;
     for (Host* host : hit) {
-      const auto after = milliseconds(this->random.Below(kClosingRestartMs));
+      auto after = milliseconds(this->random.Below(kClosingRestartMs));
+      const bool is_first = (order == 1 && host == lost) || (order == 2 && host != lost) ||
+                            (order == 3 && !host->has_disk) || (order == 4 && host->has_disk);
+      if (order != 0) {
+        after = is_first ? milliseconds(0) : after / 2 + milliseconds(kClosingRestartMs / 2);
+      }
       this->fleet.Start(*host, host->control, after);
       this->fleet.Start(*host, host->entry, after);
     }
     this->plan.RunCalm(this->timeline.Now() + milliseconds(kClosingRestartMs));
   }
 
+  /// Ends all before the first is waited for.
+  static void KillAtOnce(const std::vector<Host*>& hosts) {
+    for (const Host* host : hosts) {
+      for (const Role* role : {&host->control, &host->entry}) {
+        if (role->program != nullptr) {
+          role->program->Signal(SIGKILL);
+        }
+      }
+    }
+  }
+
+  void EvacuateOne() {
+    const std::size_t upstream = this->random.Below(kUpstreams);
+    if (this->operators.Evacuate(this->upstreams.Zone(upstream), this->timeline.Now() + kRecovery,
+                                 this->random)) {
+      this->evacuated = this->upstreams.Name(upstream);
+    } else {
+      this->timeline.Fail("ACKS", "no evacuation is acknowledged");
+    }
+  }
+
   void CheckEntries(TimePoint deadline) {
     for (const HostAddresses& host : this->fleet.Addresses()) {
       CallerConnection connection(host.callers);
@@ -177,6 +268,7 @@
     }
   }
 
+  RunKind kind;
   Timeline timeline;
   Random random;
   FleetSize size;
@@ -185,14 +277,18 @@
   Upstreams upstreams;
   Fleet fleet;
   FaultPlan plan;
+  StopLog stops;
+  PlannedWork work;
   Operator operators;
   std::uint64_t seed;
+  /// The upstream whose zone was taken out.
+  std::optional<std::string> evacuated = std::nullopt;
 };
 
 }  // namespace
 
-SoakReport RunSoak(std::uint64_t seed, const std::string& folder) {
-  return SoakRun(seed, folder).Run();
+SoakReport RunSoak(RunKind kind, std::uint64_t seed, const std::string& folder) {
+  return SoakRun(kind, seed, folder).Run();
 }
 
 }  // namespace masticrill::soak
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -13,9 +13,15 @@
   std::string timeline;
 };
 
-/// Runs a fleet under the faults of the seed, and ends with a closing fault. The folder holds the
-/// logs and the data folders.
-SoakReport RunSoak(std::uint64_t seed, const std::string& folder);
+/// What happens before the closing fault. The seeds of each kind are its own.
+enum class RunKind {
+  kFaults,       // Faults of all kinds, drawn by FaultPlan.
+  kPlannedWork,  // Stops and reloads, then full disks, drawn by PlannedWork.
+};
+
+/// Runs a fleet under what the seed draws, and ends with a closing fault. The folder holds the logs
+/// and the data folders.
+SoakReport RunSoak(RunKind kind, std::uint64_t seed, const std::string& folder);
 
 }  // namespace masticrill::soak
 
--- a/test/soak/upstreams.cc
+++ b/test/soak/upstreams.cc
@@ -11,6 +11,7 @@
 constexpr milliseconds kWork{20};
 constexpr milliseconds kEventInterval{25};
 constexpr const char* kRequestId = "X-Request-Id";
+constexpr std::string_view kWorkMark = "/work-";
 
 std::unique_ptr<net::HttpServer> StartServer(net::HttpServer::Handler handler) {
   return HandleErrors(
@@ -21,8 +22,21 @@
       [](const Error&) { return std::unique_ptr<net::HttpServer>(); });
 }
 
+/// The work for which a path asks, or the usual one.
+Duration WorkOf(const std::string& path, Duration usual) {
+  const std::size_t mark = path.find(kWorkMark);
+  return mark == std::string::npos
+             ? usual
+             : Duration(milliseconds(std::stoi(path.substr(mark + kWorkMark.size()))));
+}
+
 }  // namespace
 
+std::string WorkPart(Duration work) {
+  return std::string(kWorkMark) +
+         std::to_string(std::chrono::duration_cast<milliseconds>(work).count());
+}
+
 std::string AnswerBody(const std::string& id) {
   constexpr std::size_t kLength = 2000;
   std::string body = "answer to " + id + " ";
@@ -55,6 +69,18 @@
   return this->runs;
 }
 
+std::size_t Upstreams::BeginRun(const Run& run) {
+  const std::scoped_lock lock(this->mutex);
+  this->runs.push_back(run);
+  return this->runs.size() - 1;
+}
+
+void Upstreams::EndRun(std::size_t run, bool broke_off) {
+  const std::scoped_lock lock(this->mutex);
+  this->runs.at(run).ended_at = SystemClock().Now();
+  this->runs.at(run).broke_off = broke_off;
+}
+
 void Upstreams::Serve(const std::string& worker, bool bad, const net::HttpRequest& request,
                       net::HttpResponder& responder) {
   const std::string id(request.Header(kRequestId).value_or(""));
@@ -78,20 +104,27 @@
     answer(503, {"X-Not-Executed", "1"}, "");
     return;
   }
-  {
-    const std::scoped_lock lock(this->mutex);
-    this->runs.push_back({id, request.path, std::string(request.Header("X-Tenant").value_or("")),
-                          request.Header("Authorization").has_value(), request.body});
-  }
+  const std::size_t run =
+      this->BeginRun({id, request.path, std::string(request.Header("X-Tenant").value_or("")),
+                      request.Header("Authorization").has_value(), request.body, worker,
+                      SystemClock().Now(), TimePoint::max()});
   if (kind == 1) {
+    this->EndRun(run, true);
     responder.Abort();
     return;
   }
   if (request.path.find("/stream/") != std::string::npos) {
     this->ServeStream(id, kind == 2, request, responder);
+    this->EndRun(run, kind == 2);
     return;
   }
-  std::this_thread::sleep_for(kWork);
+  const TimePoint begun_at = SystemClock().Now();
+  const Duration work = WorkOf(request.path, kWork);
+  // A caller that leaves ends the work.
+  while (SystemClock().Now() < begun_at + work && !responder.CallerLeft()) {
+    std::this_thread::sleep_for(std::min<Duration>(kWork, work));
+  }
+  this->EndRun(run, kind == 2 || kind == 3);
   if (kind == 2) {
     answer(500, {kSignature, "failed"}, "failed");
   } else if (kind == 3) {
@@ -105,6 +138,7 @@
 
 void Upstreams::ServeStream(const std::string& id, bool breaks, const net::HttpRequest& request,
                             net::HttpResponder& responder) const {
+  const Duration interval = WorkOf(request.path, kEventInterval * kEvents) / kEvents;
   int event = 0;
   if (const auto last = request.Header("Last-Event-Id"); last && !last->empty()) {
     event = std::stoi(std::string(*last));
@@ -113,7 +147,7 @@
       200, {{kRequestId, id}, {kSignature, "s-" + id}, {"Content-Type", "text/event-stream"}});
   while (event < kEvents) {
     ++event;
-    std::this_thread::sleep_for(kEventInterval);
+    std::this_thread::sleep_for(interval);
     const std::string text =
         "id: " + std::to_string(event) + "\ndata: " + id + "-" + std::to_string(event) + "\n\n";
     if (breaks && event > kEvents / 2) {
@@ -134,7 +168,7 @@
     instances.push_back({{"Id", worker.id},
                          {"Service", "s"},
                          {"Address", worker.proxy->Address()},
-                         {"Zone", "zone-" + std::to_string(instances.size() % 3)},
+                         {"Zone", this->Zone(instances.size())},
                          {"Version", "v1"},
                          {"Slots", 32},
                          {"State", "ready"},
--- a/test/soak/upstreams.h
+++ b/test/soak/upstreams.h
@@ -18,6 +18,9 @@
 /// The events of each stream.
 inline constexpr int kEvents = 20;
 
+/// The part of a path that asks for so much work.
+std::string WorkPart(Duration work);
+
 /// The whole body of the answer to a request that is no stream. The end shows that it is whole.
 std::string AnswerBody(const std::string& id);
 
@@ -34,6 +37,8 @@
   /// While it answers badly, an upstream refuses, fails or breaks off many requests.
   void SetBad(std::size_t worker, bool bad) { *this->workers.at(worker).bad = bad; }
   std::vector<Run> Runs() const;
+  std::string Zone(std::size_t worker) const { return "zone-" + std::to_string(worker % 3); }
+  std::string Name(std::size_t worker) const { return this->workers.at(worker).id; }
 
  private:
   struct Worker {
@@ -43,9 +48,11 @@
     std::unique_ptr<FaultProxy> proxy;
   };
 
+  std::size_t BeginRun(const Run& run);
+  void EndRun(std::size_t run, bool broke_off);
   void Serve(const std::string& worker, bool bad, const net::HttpRequest& request,
              net::HttpResponder& responder);
-  void ServeStream(const std::string& id, bool bad, const net::HttpRequest& request,
+  void ServeStream(const std::string& id, bool breaks, const net::HttpRequest& request,
                    net::HttpResponder& responder) const;
   net::HttpAnswer List() const;
 
