Soak: routes and deadlines longer than the grace around planned work

With timeouts of 5 s no request that came before an entry stopped accepting could outlast its grace, so no run cut any. Now routes have 12 s, work takes up to 9 s, and a third of the bodies take up to 4 s.

--- a/test/soak/caller_connection.cc
+++ b/test/soak/caller_connection.cc
@@ -6,8 +6,8 @@
 namespace masticrill::soak {
 namespace {
 
-/// What a caller waits at most.
-constexpr milliseconds kCallerPatience{6500};
+/// How long a caller waits beyond its deadline.
+constexpr milliseconds kCallerPatience{1500};
 constexpr milliseconds kConnectTimeout{1000};
 
 std::string FieldOf(const std::string& head, const std::string& name) {
@@ -34,7 +34,7 @@
   if (this->socket == nullptr) {
     return {};
   }
-  const TimePoint deadline = clock.Now() + kCallerPatience;
+  const TimePoint deadline = clock.Now() + attempt.timeout + kCallerPatience;
   Reply reply;
   if (this->Send(attempt, key, deadline)) {
     const TimePoint sent_whole_at = clock.Now();
@@ -51,10 +51,11 @@
 
 bool CallerConnection::Send(const Attempt& attempt, const std::string& key, TimePoint deadline) {
   const std::string body = "body of " + attempt.id;
-  const std::string head =
-      "POST " + attempt.path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + attempt.id +
-      "\r\nX-Deadline-Ms: " + std::to_string(kCallTimeout.count()) + "\r\nAuthorization: Bearer " +
-      key + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  const std::string head = "POST " + attempt.path +
+                           " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + attempt.id +
+                           "\r\nX-Deadline-Ms: " + std::to_string(attempt.timeout.count()) +
+                           "\r\nAuthorization: Bearer " + key +
+                           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   if (attempt.body_time == Duration(0)) {
     return this->socket->Write(head + body, deadline) == net::IoEnd::kDone;
   }
--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -1,3 +1,5 @@
+#include <array>
+
 #include "soak/caller.h"
 #include "soak/upstreams.h"
 
@@ -6,8 +8,8 @@
 
 constexpr milliseconds kPause{40};
 constexpr int kMaxDenied = 10;
-constexpr std::uint64_t kLongestWorkMs = 4600;
-constexpr std::uint64_t kLongestBodyMs = 2500;
+constexpr std::uint64_t kLongestWorkMs = 9000;
+constexpr std::uint64_t kLongestBodyMs = 4000;
 
 bool PromisesNotRun(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -94,7 +96,9 @@
     const std::size_t route_end = attempt.path.find('/', 1);
     attempt.path.insert(route_end, WorkPart(milliseconds(random.Below(kLongestWorkMs))));
   }
-  if (random.Below(5) == 0) {
+  constexpr std::array kTimeouts = {kCallTimeout, kLongCallTimeout, kLongCallTimeout};
+  attempt.timeout = kTimeouts.at(random.Below(kTimeouts.size()));
+  if (random.Below(3) == 0) {
     attempt.body_time = milliseconds(random.Below(kLongestBodyMs));
   }
 }
@@ -230,7 +234,7 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(span).count()) + " ms";
   };
   const Duration waited = outcome.ended_at - *outcome.sent_whole_at;
-  if (outcome.ended_at >= attempt.sent_at + kCallTimeout) {
+  if (outcome.ended_at >= attempt.sent_at + attempt.timeout) {
     return;
   }
   const std::string what = Describe(attempt) + " to host " + std::to_string(attempt.host) +
--- a/test/soak/operator.cc
+++ b/test/soak/operator.cc
@@ -22,10 +22,10 @@
                       });
 }
 
-Json Route(const std::string& name, const std::string& kind) {
+Json Route(const std::string& name, const std::string& kind, milliseconds timeout) {
   const bool is_stream = kind == "streaming";
-  return {{"Name", name},     {"Host", "a.example"},   {"PathPrefix", "/" + name + "/"},
-          {"Kind", kind},     {"TimeoutMs", 5000},     {"Service", "s"},
+  return {{"Name", name},     {"Host", "a.example"},          {"PathPrefix", "/" + name + "/"},
+          {"Kind", kind},     {"TimeoutMs", timeout.count()}, {"Service", "s"},
           {"MaxAttempts", 3}, {"Resumable", is_stream}};
 }
 
@@ -35,10 +35,11 @@
 
 }  // namespace
 
-std::string Configuration(std::uint64_t revision) {
-  Json routes = {Route("safe", "safe"), Route("once", "unsafe"), Route("stream", "streaming")};
+std::string Configuration(std::uint64_t revision, milliseconds timeout) {
+  Json routes = {Route("safe", "safe", timeout), Route("once", "unsafe", timeout),
+                 Route("stream", "streaming", timeout)};
   for (std::uint64_t added = OldestOf(revision, kRoutesKept); added <= revision; ++added) {
-    routes.push_back(Route("r" + std::to_string(added), "unsafe"));
+    routes.push_back(Route("r" + std::to_string(added), "unsafe", timeout));
   }
   Json keys = {"key-0"};
   for (std::uint64_t added = OldestOf(revision, kKeysKept); added <= revision; ++added) {
@@ -116,7 +117,8 @@
 }
 
 bool Operator::Put(const HostAddresses& host, std::uint64_t revision) {
-  const net::HttpAnswer answer = Call(host, {"PUT", "/v1/config", {}, Configuration(revision)});
+  const net::HttpAnswer answer =
+      Call(host, {"PUT", "/v1/config", {}, Configuration(revision, this->route_timeout)});
   if (answer.status == 400) {
     this->timeline.Fail("CONFIG", "a valid configuration was refused: " + answer.body);
   }
@@ -126,8 +128,9 @@
 /// A route to a service that does not exist, under a revision that is sent in no other way.
 void Operator::PutInvalid(const HostAddresses& host) {
   constexpr std::uint64_t kFarAhead = 1'000'000;
-  Json invalid = Json::parse(Configuration(this->acknowledged.HighestSent() + kFarAhead));
-  invalid["Routes"].push_back(Route("never", "safe"));
+  Json invalid =
+      Json::parse(Configuration(this->acknowledged.HighestSent() + kFarAhead, this->route_timeout));
+  invalid["Routes"].push_back(Route("never", "safe", this->route_timeout));
   invalid["Routes"].back()["Service"] = "none";
   if (Call(host, {"PUT", "/v1/config", {}, invalid.dump()}).status == kOk) {
     this->timeline.Fail("CONFIG", "an invalid configuration was acknowledged by host " +
@@ -153,7 +156,8 @@
   if (revision < expected) {
     this->timeline.Fail("CONFIG", what + ", older than " + std::to_string(expected));
   }
-  if (revision > this->acknowledged.HighestSent() || answer.body != Configuration(revision)) {
+  if (revision > this->acknowledged.HighestSent() ||
+      answer.body != Configuration(revision, this->route_timeout)) {
     this->timeline.Fail("CONFIG", what + ", which is not what was sent");
   }
   return revision;
--- a/test/soak/operator.h
+++ b/test/soak/operator.h
@@ -12,14 +12,19 @@
 
 namespace masticrill::soak {
 
-/// The configuration with this revision. It has the newest routes and keys beside constant ones.
-std::string Configuration(std::uint64_t revision);
+/// The configuration with this revision and timeout of routes. It has the newest routes and keys
+/// beside constant ones.
+std::string Configuration(std::uint64_t revision, milliseconds timeout);
 
 /// Changes the configuration and reads it back, at any control host.
 class Operator {
  public:
-  Operator(const Fleet& fleet, Acknowledged& acknowledged, Timeline& timeline)
-      : fleet(fleet), acknowledged(acknowledged), timeline(timeline) {}
+  Operator(const Fleet& fleet, Acknowledged& acknowledged, Timeline& timeline,
+           milliseconds route_timeout)
+      : fleet(fleet),
+        acknowledged(acknowledged),
+        timeline(timeline),
+        route_timeout(route_timeout) {}
   ~Operator() { this->Stop(); }
   Operator(const Operator&) = delete;
   Operator& operator=(const Operator&) = delete;
@@ -45,6 +50,7 @@
   const Fleet& fleet;
   Acknowledged& acknowledged;
   Timeline& timeline;
+  milliseconds route_timeout;
   std::atomic<bool> stopping = false;
   std::thread thread;
 };
--- a/test/soak/records.h
+++ b/test/soak/records.h
@@ -11,6 +11,7 @@
 
 #include "masticrill/common/clock.h"
 #include "masticrill/net/header_field.h"
+#include "soak/timeline.h"
 
 namespace masticrill::soak {
 
@@ -35,6 +36,8 @@
   bool forbidden = false;
   /// The host to whose entry it goes.
   std::size_t host = 0;
+  /// The deadline that is sent with it.
+  milliseconds timeout = kCallTimeout;
   /// How long the sending of the body takes.
   Duration body_time{0};
   TimePoint sent_at = {};
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kUpstreams = 3;
 constexpr std::size_t kCallers = 6;
-constexpr std::size_t kCallersOfPlannedWork = 20;
+constexpr std::size_t kCallersOfPlannedWork = 30;
 /// Every so many seeds of planned work have a large fleet, with so many more hosts.
 constexpr std::uint64_t kLargeEvery = 5;
 constexpr std::size_t kMoreObservers = 15;
@@ -47,7 +47,8 @@
               this->timeline),
         plan(seed, this->fleet, this->upstreams, this->calm, this->timeline),
         work(seed, this->fleet, this->upstreams, this->calm, this->stops, this->timeline),
-        operators(this->fleet, this->acknowledged, this->timeline),
+        operators(this->fleet, this->acknowledged, this->timeline,
+                  kind == RunKind::kPlannedWork ? kLongCallTimeout : kCallTimeout),
         seed(seed) {}
 
   SoakReport Run() {
--- a/test/soak/timeline.h
+++ b/test/soak/timeline.h
@@ -20,8 +20,10 @@
 inline constexpr seconds kStopGrace{8};
 inline constexpr milliseconds kLossSlack{200};
 inline constexpr milliseconds kEvacuate{5000};
-/// The timeout of all routes, and the deadline that callers send.
+/// The timeout of routes, and the deadline that callers send.
 inline constexpr milliseconds kCallTimeout{5000};
+/// The same around planned work: longer than the grace of a stop.
+inline constexpr milliseconds kLongCallTimeout{12000};
 
 /// What happened in a run, in order, and which checks failed. Safe for several threads.
 class Timeline {
