--- a/test/soak/fault_proxy_test.cc
+++ b/test/soak/fault_proxy_test.cc
@@ -67,6 +67,19 @@
   CHECK(proxied.requests == 1);
 }
 
+TEST_CASE("an answer that is cut at any place is not taken for a whole one") {
+  ProxiedServer proxied;
+  constexpr int kPlaces = 9;
+  proxied.proxy.Set(LinkFault::kCutAnswers);
+  for (int place = 0; place < kPlaces; ++place) {
+    CAPTURE(place);
+    CHECK(proxied.Ask() == 0);
+  }
+  CHECK(proxied.requests == kPlaces);
+  proxied.proxy.Set(LinkFault::kNone);
+  CHECK(proxied.Ask() == 200);
+}
+
 TEST_CASE("a delay is seen by the caller and loses nothing") {
   ProxiedServer proxied;
   proxied.proxy.Set(LinkFault::kDelay);
