--- a/test/soak/fleet.h
+++ b/test/soak/fleet.h
@@ -13,6 +13,12 @@
 
 namespace masticrill::soak {
 
+/// Which writes of a control host fail.
+enum class DiskPart {
+  kReplica,  // Those of the vote and the snapshot.
+  kAll,      // Also the check for room, before the replica starts anew.
+};
+
 /// One program of a host.
 struct Role {
   std::string name;
@@ -41,6 +47,8 @@
   std::size_t number = 0;
   bool has_disk = false;
   std::string callers;
+  /// Where the entry itself listens, without a proxy.
+  std::string entry;
   std::string operators;
 };
 
@@ -65,7 +73,9 @@
   /// Empties the data folder of a control host that does not run.
   void Wipe(Host& host);
   /// Puts folders in the place of the temporary files of the replica, or takes them away.
-  void BlockDisk(Host& host, bool blocked);
+  void BlockDisk(Host& host, bool blocked, DiskPart part = DiskPart::kReplica);
+  /// Tells the program that its settings may have changed.
+  void Reload(Host& host, Role& role);
   /// Ends the host for good.
   void Remove(Host& host);
   /// Writes the seeds into all settings files; running programs are told or find out.
--- a/test/soak/operator.h
+++ b/test/soak/operator.h
@@ -12,14 +12,19 @@
 
 namespace masticrill::soak {
 
-/// The configuration with this revision. It has the newest routes and keys beside constant ones.
-std::string Configuration(std::uint64_t revision);
+/// The configuration with this revision and timeout of routes. It has the newest routes and keys
+/// beside constant ones.
+std::string Configuration(std::uint64_t revision, milliseconds timeout);
 
 /// Changes the configuration and reads it back, at any control host.
 class Operator {
  public:
-  Operator(const Fleet& fleet, Acknowledged& acknowledged, Timeline& timeline)
-      : fleet(fleet), acknowledged(acknowledged), timeline(timeline) {}
+  Operator(const Fleet& fleet, Acknowledged& acknowledged, Timeline& timeline,
+           milliseconds route_timeout)
+      : fleet(fleet),
+        acknowledged(acknowledged),
+        timeline(timeline),
+        route_timeout(route_timeout) {}
   ~Operator() { this->Stop(); }
   Operator(const Operator&) = delete;
   Operator& operator=(const Operator&) = delete;
@@ -31,6 +36,9 @@
   /// Sends the next revision to one host after another until it is acknowledged. Returns the number
   /// of the host that did.
   std::optional<std::size_t> Change(TimePoint deadline, Random& random);
+  /// Takes a zone out, at one host after another, until that is acknowledged. Returns whether it
+  /// was.
+  bool Evacuate(const std::string& zone, TimePoint deadline, Random& random);
   /// The revision that a host reads back; none when it gives no answer. The answer is checked.
   std::optional<std::uint64_t> Read(const HostAddresses& host);
 
@@ -42,6 +50,7 @@
   const Fleet& fleet;
   Acknowledged& acknowledged;
   Timeline& timeline;
+  milliseconds route_timeout;
   std::atomic<bool> stopping = false;
   std::thread thread;
 };
