Read a request under the limits in force when it arrives

A connection that waited for its first or next request kept the limits of the moment at which it began to wait, up to the idle timeout before. Callers got 431 or 413 for requests that the new configuration allows, and sizes that it forbids passed. The limits are now taken when the first byte has come; the idle timeout remains that of the beginning, on which the caller relies.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -43,10 +43,11 @@
 }
 
 bool CallerConnection::ServeNext() {
-  const CallerLimits current = this->limits();
-  if (this->AwaitFirstByte(current) != ReadResult::kRead) {
+  if (this->AwaitFirstByte(this->limits()) != ReadResult::kRead) {
     return false;
   }
+  // The connection may have waited for longer than a configuration lasts.
+  const CallerLimits current = this->limits();
   net::RequestHead head;
   if (const ReadResult result = this->ReadHead(current, head); result != ReadResult::kRead) {
     this->RefuseAndClose(result, true);
