Tell for how long a replica has been stopped by a storage error

The log and masticrill_control_stopped told that a replica had stopped and why, but not since when, by which a disk that was full for a moment differs from a replica that has no way back. The gauge masticrill_control_stopped_seconds tells it. Its test is new with it.

--- a/src/control/group_monitor.cc
+++ b/src/control/group_monitor.cc
@@ -85,6 +85,11 @@
   return this->report.WithoutLeader();
 }
 
+Duration GroupMonitor::Stopped() const {
+  const std::scoped_lock lock(this->mutex);
+  return this->report.Stopped();
+}
+
 Duration GroupMonitor::RunOnce() {
   const consensus::DriverStatus status = this->replica.Status();
   std::vector<GroupNotice> notices;
--- a/src/control/group_monitor.h
+++ b/src/control/group_monitor.h
@@ -20,6 +20,8 @@
   /// The replica must outlive the monitor.
   GroupMonitor(const ControlOptions& options, const ReplicaRunner& replica);
   void Stop() { this->thread.Stop(); }
+  /// How long this replica has been stopped by a storage error.
+  Duration Stopped() const;
   /// How long this replica has known no leader.
   Duration WithoutLeader() const;
 
--- a/src/control/group_report.cc
+++ b/src/control/group_report.cc
@@ -74,6 +74,10 @@
 
 std::vector<GroupNotice> GroupReport::Observe(const consensus::DriverStatus& status,
                                               TimePoint now) {
+  if (!status.stopped || !this->running_at) {
+    this->running_at = now;
+  }
+  this->stopped = now - *this->running_at;
   std::vector<GroupNotice> notices;
   if (this->MembershipChanged(status.replica.membership)) {
     notices.push_back({.event = GroupEvent::kMembershipChanged});
--- a/src/control/group_report.h
+++ b/src/control/group_report.h
@@ -59,6 +59,8 @@
 
   /// Takes the status at a time, which does not go back.
   std::vector<GroupNotice> Observe(const consensus::DriverStatus& status, TimePoint now);
+  /// How long the replica has been stopped by a storage error, as of the last observation.
+  Duration Stopped() const { return this->stopped; }
   /// How long the replica has known no leader, as of the last observation.
   Duration WithoutLeader() const { return this->without_leader; }
 
@@ -69,6 +71,8 @@
 
   Duration election_timeout;
   consensus::Membership membership;
+  std::optional<TimePoint> running_at;
+  Duration stopped{0};
   std::optional<TimePoint> leader_known_at;
   Duration without_leader{0};
   std::optional<TimePoint> no_leader_told_at;
--- a/src/control/operator_metrics.cc
+++ b/src/control/operator_metrics.cc
@@ -47,6 +47,8 @@
   writer.Gauge("masticrill_control_configuration_number", "The configuration number applied.",
                static_cast<double>(this->parts.state.Configuration()->number));
   writer.Gauge("masticrill_control_stopped", "1 after a storage error.", status.stopped ? 1 : 0);
+  writer.Gauge("masticrill_control_stopped_seconds", "Time since the replica stopped.",
+               std::chrono::duration<double>(this->parts.monitor.Stopped()).count());
   this->WriteGroupMetrics(writer, status.replica);
   writer.Gauge("masticrill_control_claims", "At-most-once claims kept.",
                static_cast<double>(sizes.claims));
--- a/test/control/group_report_test.cc
+++ b/test/control/group_report_test.cc
@@ -152,6 +152,19 @@
   CHECK(SilentVoters(Follower({"a", "b"}).replica, kElectionTimeout, kStart).empty());
 }
 
+TEST_CASE("the time since a storage error stopped the replica is told") {
+  GroupReport report(kElectionTimeout);
+  consensus::DriverStatus status = Follower({"a", "b", "c"});
+  report.Observe(status, kStart);
+  CHECK(report.Stopped() == Duration(0));
+  status.stopped = Error{ErrorKind::kStorageFull, "full"};
+  report.Observe(status, kStart + seconds(3));
+  CHECK(report.Stopped() == seconds(3));
+  status.stopped.reset();
+  report.Observe(status, kStart + seconds(4));
+  CHECK(report.Stopped() == Duration(0));
+}
+
 TEST_CASE("a list of replicas has a bounded length") {
   CHECK(FormatReplicas({}).empty());
   CHECK(FormatReplicas({Replica("a"), Replica("b")}) == "a:012345 b:012345");
