Answer every connection that an HTTP server accepted, and every request whose handler fails

Callers of an entry or a control host that stopped were closed without an answer while they waited for a thread or while their first request was on its way; later callers were connected and waited in the listener until the process ended. A handler that threw closed its connection without an answer, and the answer in parts that it had begun looked whole.

Cause: the stop of POCO's TCP server drops its queue and leaves the listener open, its HTTP server shuts each connection that is between two requests, new ones too; it answers 500 only for its own exceptions, and ends a chunked body when it unwinds. Class of fault: what was accepted belongs to nobody for a time.

ConnectionAcceptor owns each connection from its acceptance to its end: a stop takes what the listener holds, closes it, and serves those that wait. Connections tell with their answer that it is the last, idle ones end, new ones have first_request_timeout for a first request. A failed handler gives 500, or a reset where the answer has begun.

--- a/include/masticrill/net/http_server.h
+++ b/include/masticrill/net/http_server.h
@@ -74,9 +74,12 @@
   milliseconds read_timeout{15000};
   /// All of a body must have come within this time.
   milliseconds body_timeout{30000};
+  /// How long a stop waits for the first request of a new connection.
+  milliseconds first_request_timeout{2000};
 };
 
-/// Serves HTTP/1.1 with one thread for each connection in use.
+/// Serves HTTP/1.1 with one thread for each connection in use. A handler that throws gives its
+/// caller 500, or a cut answer if one has begun.
 class HttpServer {
  public:
   using Handler = std::function<void(const HttpRequest&, HttpResponder&)>;
@@ -91,9 +94,11 @@
   std::string Address() const;
   int OpenConnections() const;
 
-  /// Stops accepting connections; requests in progress go on.
+  /// Stops accepting connections; those that were accepted are served, and end with their next
+  /// answer. Later callers are refused a connection.
   void StopAccepting();
-  /// Stops accepting and waits until all requests in progress have ended.
+  /// Stops accepting, closes idle connections, and waits until all requests in progress and those
+  /// of connections that wait for a thread have been answered.
   void Stop();
 
  private:
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,39 +1,41 @@
 #include "masticrill/net/http_server.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
 #include <array>
+#include <atomic>
+#include <exception>
 #include <istream>
 #include <ostream>
 
 #include "masticrill/common/log.h"
+#include "masticrill/net/connection_acceptor.h"
 
 namespace masticrill::net {
 namespace {
 
 constexpr Logger kLog(LogPart::kNet);
 constexpr int kThreadStackBytes = 128 * 1024;
-/// Connections that the system completes before they are accepted: a burst beyond it waits a second
-/// for its repeated SYN.
-constexpr int kListenBacklog = 1024;
+/// How often a connection that waits for a request looks whether the server stops.
+constexpr milliseconds kStopCheckInterval{100};
 constexpr std::size_t kReadBlockBytes = 16384;
 constexpr std::string_view kBearerPrefix = "Bearer ";
 
+/// What the connections of one server share.
 struct Shared {
   HttpServerOptions options;
   HttpServer::Handler handler;
+  /// Each answer is the last one of its connection.
+  std::atomic<bool> stopping = false;
+  /// Connections end, those that are idle at once.
+  std::atomic<bool> ending = false;
 };
 
 void ReadBody(std::istream& input, const HttpServerOptions& options, std::int64_t declared_bytes,
@@ -155,12 +157,105 @@
 
 namespace {
 
-class Handler : public Poco::Net::HTTPRequestHandler {
+/// Reads requests from one connection, and tells whether more of them are there.
+class Session : public Poco::Net::HTTPServerSession {
  public:
-  explicit Handler(const Shared& shared) : shared(shared) {}
+  using Poco::Net::HTTPServerSession::HTTPServerSession;
 
-  void handleRequest(Poco::Net::HTTPServerRequest& poco_request,
-                     Poco::Net::HTTPServerResponse& poco_response) override {
+  /// Whether the next request or the end of the connection can be read within that time.
+  bool Readable(Duration patience) {
+    const auto wait = duration_cast<std::chrono::microseconds>(patience).count();
+    return this->buffered() > 0 ||
+           this->socket().poll(Poco::Timespan(wait), Poco::Net::Socket::SELECT_READ);
+  }
+};
+
+/// Serves the requests of one connection, one after the other.
+class Connection {
+ public:
+  Connection(const Poco::Net::StreamSocket& socket, Shared& shared)
+      : shared(shared),
+        params(MakeParams(shared.options)),
+        session(socket, this->params),
+        since(this->clock.Now()) {}
+
+  void Serve() {
+    try {
+      while (this->AwaitRequest() && this->session.hasMoreRequests()) {
+        this->ServeNext();
+        this->since = this->clock.Now();
+        this->is_first = false;
+      }
+    } catch (const Poco::Net::NoMessageException&) {
+      // The caller closed its connection.
+    } catch (const Poco::Net::MessageException&) {
+      this->SendError(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+    } catch (const std::exception&) {
+      // The connection broke.
+    }
+  }
+
+ private:
+  static Poco::Net::HTTPServerParams::Ptr MakeParams(const HttpServerOptions& options) {
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+    params->setTimeout(Poco::Timespan(options.read_timeout.count() * 1000));
+    params->setKeepAlive(true);
+    params->setKeepAliveTimeout(Poco::Timespan(options.read_timeout.count() * 1000));
+    return params;
+  }
+
+  /// How long the connection may wait for its next request.
+  Duration MaxWait() const {
+    if (!this->shared.ending) {
+      return this->shared.options.read_timeout;
+    }
+    return this->is_first ? Duration(this->shared.options.first_request_timeout) : Duration(0);
+  }
+
+  /// Returns false when the connection is to be closed. A stop closes one that was kept, and gives
+  /// the first request of a new one time to come.
+  bool AwaitRequest() {
+    while (!this->session.Readable(kStopCheckInterval)) {
+      if (this->clock.Now() - this->since >= this->MaxWait()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void ServeNext() {
+    Poco::Net::HTTPServerResponseImpl response(this->session);
+    Poco::Net::HTTPServerRequestImpl request(response, this->session, this->params.get());
+    response.setDate(Poco::Timestamp());
+    response.setVersion(request.getVersion());
+    response.setKeepAlive(request.getKeepAlive() && this->session.canKeepAlive() &&
+                          !this->shared.stopping);
+    if (request.getExpectContinue()) {
+      response.sendContinue();
+    }
+    this->Handle(request, response);
+    this->session.setKeepAlive(response.getKeepAlive() && this->session.canKeepAlive());
+  }
+
+  void Handle(Poco::Net::HTTPServerRequestImpl& poco_request,
+              Poco::Net::HTTPServerResponse& poco_response) {
+    const HttpRequest request = this->Read(poco_request);
+    if (request.body_status != BodyStatus::kWhole) {
+      // The rest of the body must not be read as the next request.
+      poco_response.setKeepAlive(false);
+    }
+    HttpResponder::State state{poco_response, poco_request.socket()};
+    HttpResponder responder(state);
+    try {
+      this->shared.handler(request, responder);
+    } catch (const Poco::Exception& exception) {
+      OnFailure(request, exception.displayText(), poco_response, responder);
+    } catch (const std::exception& exception) {
+      OnFailure(request, exception.what(), poco_response, responder);
+    }
+  }
+
+  HttpRequest Read(Poco::Net::HTTPServerRequest& poco_request) const {
     HttpRequest request;
     request.method = poco_request.getMethod();
     try {
@@ -180,40 +275,51 @@
     } catch (const Poco::Exception&) {
       request.body_status = BodyStatus::kIncomplete;
     }
-    if (request.body_status != BodyStatus::kWhole) {
-      // The rest of the body must not be read as the next request.
-      poco_response.setKeepAlive(false);
-    }
-    auto& poco_impl = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(poco_request);
-    HttpResponder::State state{poco_response, poco_impl.socket()};
-    HttpResponder responder(state);
-    this->shared.handler(request, responder);
+    return request;
   }
 
- private:
-  const Shared& shared;
-};
-
-class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  explicit HandlerFactory(const Shared& shared) : shared(shared) {}
+  /// Answers 500, or cuts an answer that has begun.
+  static void OnFailure(const HttpRequest& request, const std::string& reason,
+                        Poco::Net::HTTPServerResponse& response, HttpResponder& responder) {
+    kLog.Error("A request's handler failed.", {{"path", request.path}, {"reason", reason}});
+    if (responder.Begun()) {
+      responder.Abort();
+      return;
+    }
+    response.clear();
+    response.setKeepAlive(false);
+    responder.SendWhole({Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR,
+                         {{"Content-Type", "text/plain"}},
+                         "The request failed inside this server; it may have run. See its log.\n"});
+  }
 
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const Poco::Net::HTTPServerRequest& /*request*/) override {
-    return new Handler(this->shared);
+  void SendError(Poco::Net::HTTPResponse::HTTPStatus status) {
+    try {
+      Poco::Net::HTTPServerResponseImpl response(this->session);
+      response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+      response.setStatusAndReason(status);
+      response.setKeepAlive(false);
+      response.setContentLength(0);
+      response.send();
+      this->session.setKeepAlive(false);
+    } catch (const Poco::Exception&) {
+      // The caller was first.
+    }
   }
 
- private:
-  const Shared& shared;
+  Shared& shared;
+  SystemClock clock;
+  Poco::Net::HTTPServerParams::Ptr params;
+  Session session;
+  TimePoint since;
+  bool is_first = true;
 };
 
 }  // namespace
 
 struct HttpServer::State {
   Shared shared;
-  std::unique_ptr<Poco::ThreadPool> pool;
-  std::unique_ptr<Poco::Net::HTTPServer> server;
-  std::string address;
+  std::unique_ptr<ConnectionAcceptor> acceptor;
 };
 
 HttpServer::HttpServer(std::unique_ptr<State> state) : state(std::move(state)) {}
@@ -223,40 +329,33 @@
 Result<std::unique_ptr<HttpServer>> HttpServer::Start(const HttpServerOptions& options,
                                                       Handler handler) {
   auto state = std::make_unique<State>();
-  state->shared = Shared{options, std::move(handler)};
-  try {
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(options.address), kListenBacklog);
-    state->address = socket.address().toString();
-    state->pool =
-        std::make_unique<Poco::ThreadPool>(2, options.max_connections + 1, 60, kThreadStackBytes);
-    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-    params->setMaxThreads(options.max_connections);
-    params->setMaxQueued(options.max_queued_connections);
-    params->setTimeout(Poco::Timespan(options.read_timeout.count() * 1000));
-    params->setKeepAlive(true);
-    params->setKeepAliveTimeout(Poco::Timespan(options.read_timeout.count() * 1000));
-    state->server = std::make_unique<Poco::Net::HTTPServer>(new HandlerFactory(state->shared),
-                                                            *state->pool, socket, params);
-    state->server->start();
-  } catch (const Poco::Exception& exception) {
-    return Fail(ErrorKind::kUnavailable, "Cannot listen on " + options.address + " (" +
-                                             exception.displayText() +
-                                             "). Choose an address of this host that is free.");
-  }
-  kLog.Info("HTTP server started.", {{"address", state->address}});
+  state->shared.options = options;
+  state->shared.handler = std::move(handler);
+  BOOST_LEAF_ASSIGN(
+      state->acceptor,
+      ConnectionAcceptor::Start(
+          {options.address, options.max_connections,
+           static_cast<std::size_t>(options.max_queued_connections), kThreadStackBytes},
+          [&shared = state->shared](Poco::Net::StreamSocket& socket) {
+            Connection(socket, shared).Serve();
+          }));
+  kLog.Info("HTTP server started.", {{"address", state->acceptor->Address()}});
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
-std::string HttpServer::Address() const { return this->state->address; }
+std::string HttpServer::Address() const { return this->state->acceptor->Address(); }
 
-int HttpServer::OpenConnections() const { return this->state->server->currentConnections(); }
+int HttpServer::OpenConnections() const { return this->state->acceptor->Open(); }
 
-void HttpServer::StopAccepting() { this->state->server->stop(); }
+void HttpServer::StopAccepting() {
+  this->state->shared.stopping = true;
+  this->state->acceptor->StopAccepting();
+}
 
 void HttpServer::Stop() {
-  // Ends idle connections; one with a request in progress ends after its answer.
-  this->state->server->stopAll(false);
-  this->state->pool->joinAll();
+  this->state->shared.stopping = true;
+  this->state->shared.ending = true;
+  this->state->acceptor->Stop();
 }
 
 }  // namespace masticrill::net
--- a/test/net/http_server_test.cc
+++ b/test/net/http_server_test.cc
@@ -22,6 +22,7 @@
   HttpServerOptions options;
   options.address = "127.0.0.1:0";
   options.max_connections = max_connections;
+  options.first_request_timeout = kTestTimeout;
   return HandleErrors([&] { return HttpServer::Start(options, std::move(handler)); },
                       [](const Error& error) {
                         FAIL(error.message);
