Serve callers of the gateway by the acceptor of the other servers; bound what a stop asks and records

One class accepts connections now (net::ConnectionAcceptor): two did the same. A request that trickles in is asked for the stop before each wait; the time for the load balancer is bounded by the stop; cut requests are recorded before the parts end, which may last longer than the process.

--- a/include/masticrill/net/connection_acceptor.h
+++ b/include/masticrill/net/connection_acceptor.h
@@ -39,6 +39,8 @@
   ConnectionAcceptor& operator=(const ConnectionAcceptor&) = delete;
 
   std::string Address() const;
+  /// The connections that were accepted and have not ended.
+  std::size_t Connections() const;
   /// The connections that are being served.
   int Open() const;
   /// The connections that wait for a thread.
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -103,15 +103,15 @@
 CallerConnection::ReadResult CallerConnection::FillRequest(TimePoint read_by) {
   while (true) {
     const std::optional<TimePoint> stop_by = this->answer_by();
+    if (stop_by && this->clock.Now() >= *stop_by) {
+      return ReadResult::kStopping;
+    }
     const TimePoint wait_until =
         std::min({read_by, this->clock.Now() + kStopCheck, stop_by.value_or(TimePoint::max())});
     const net::IoEnd end = this->socket.Fill(wait_until);
     if (end != net::IoEnd::kTimeout) {
       return end == net::IoEnd::kDone ? ReadResult::kRead : ReadResult::kDisconnected;
     }
-    if (stop_by && this->clock.Now() >= *stop_by) {
-      return ReadResult::kStopping;
-    }
     if (this->clock.Now() >= read_by) {
       return ReadResult::kTooSlow;
     }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,8 +1,8 @@
 #include "masticrill/gateway/gateway_server.h"
 
-#include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <exception>
@@ -12,7 +12,6 @@
 
 #include "gateway/call_runner.h"
 #include "gateway/call_status.h"
-#include "gateway/caller_acceptor.h"
 #include "gateway/caller_connection.h"
 #include "gateway/load_exchange.h"
 #include "gateway/upstream_list_updater.h"
@@ -20,6 +19,7 @@
 #include "masticrill/common/random.h"
 #include "masticrill/gateway/gateway_view.h"
 #include "masticrill/gateway/upstream_pool.h"
+#include "masticrill/net/connection_acceptor.h"
 #include "masticrill/net/http_server.h"
 #include "masticrill/node/control_link.h"
 #include "masticrill/node/lease_client.h"
@@ -28,6 +28,9 @@
 namespace {
 
 constexpr Logger kLog(LogPart::kGateway);
+constexpr int kThreadStackBytes = 128 * 1024;
+/// Accepted connections that may wait for a thread.
+constexpr std::size_t kMaxWaitingConnections = 512;
 constexpr int kIncarnationBytes = 8;
 constexpr int kStatusConnections = 8;
 /// Control hosts answer within milliseconds; after this time another one is asked.
@@ -142,7 +145,7 @@
   std::unique_ptr<net::HttpServer> status_server;
   std::mutex stop_mutex;
   bool stopped = false;
-  std::unique_ptr<CallerAcceptor> acceptor;
+  std::unique_ptr<net::ConnectionAcceptor> acceptor;
 };
 
 Result<void> GatewayServer::State::Start(UpstreamListReader read_list) {
@@ -190,15 +193,14 @@
 }
 
 Result<void> GatewayServer::State::StartServers() {
-  try {
-    this->acceptor = std::make_unique<CallerAcceptor>(
-        this->options.caller_address, this->options.max_connections, this->metrics.connections,
-        [this](const Poco::Net::StreamSocket& accepted) { this->Serve(accepted); });
-  } catch (const Poco::Exception& exception) {
-    return Fail(ErrorKind::kUnavailable, "Cannot listen on " + this->options.caller_address + " (" +
-                                             exception.displayText() +
-                                             "). Choose an address of this host that is free.");
-  }
+  BOOST_LEAF_ASSIGN(this->acceptor, net::ConnectionAcceptor::Start(
+                                        {.address = this->options.caller_address,
+                                         .max_connections = this->options.max_connections,
+                                         .max_waiting = kMaxWaitingConnections,
+                                         .thread_stack_bytes = kThreadStackBytes},
+                                        [this](const Poco::Net::StreamSocket& accepted) {
+                                          this->Serve(accepted);
+                                        }));
   BOOST_LEAF_ASSIGN(
       this->status_server,
       net::HttpServer::Start(
@@ -363,12 +365,17 @@
 }
 
 void GatewayServer::State::Serve(const Poco::Net::StreamSocket& socket) {
-  CallerConnection connection(
-      net::SocketStream(socket), [this] { return this->Limits(); },
-      [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
-      [this](const net::RequestHead& head, const std::string& body, CallerStream& caller,
-             TimePoint arrived_at) { this->Handle(head, body, caller, arrived_at); });
-  connection.Run();
+  const CountedWhile counted(this->metrics.connections);
+  try {
+    CallerConnection connection(
+        net::SocketStream(socket), [this] { return this->Limits(); },
+        [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
+        [this](const net::RequestHead& head, const std::string& body, CallerStream& caller,
+               TimePoint arrived_at) { this->Handle(head, body, caller, arrived_at); });
+    connection.Run();
+  } catch (const std::exception& exception) {
+    kLog.Error("A caller's connection ended by an exception.", {{"cause", exception.what()}});
+  }
 }
 
 void GatewayServer::State::Handle(const net::RequestHead& head, const std::string& body,
@@ -506,16 +513,19 @@
   if (server_state.acceptor != nullptr) {
     // The load balancer knows a node that has had no configuration yet as not ready.
     if (server_state.View() != nullptr) {
-      never.wait_for(wait, server_state.options.stop_accepting_after);
+      never.wait_for(wait, std::min(server_state.options.stop_accepting_after,
+                                    server_state.options.stop_within / 2));
     }
-    server_state.acceptor->Stop();
+    server_state.acceptor->StopAccepting();
     server_state.phase = StopPhase::kClosing;
-    while (server_state.metrics.connections > 0 &&
+    while (server_state.acceptor->Connections() > 0 &&
            server_state.clock.Now() - begin < server_state.options.stop_within) {
       never.wait_for(wait, kStopPoll);
     }
   }
   server_state.phase = StopPhase::kClosing;
+  // Before the parts end, which may wait for answers longer than the process lasts.
+  server_state.RecordCutRequests();
   if (server_state.load_exchange != nullptr) {
     server_state.load_exchange->Stop();
   }
@@ -525,7 +535,6 @@
   if (server_state.leases != nullptr) {
     server_state.leases->Stop();
   }
-  server_state.RecordCutRequests();
   kLog.Info("The gateway has stopped.", {{"in_flight", server_state.metrics.in_flight.load()},
                                          {"connections", server_state.metrics.connections.load()}});
 }
--- a/src/net/connection_acceptor.cc
+++ b/src/net/connection_acceptor.cc
@@ -23,7 +23,7 @@
 /// Connections that the system completes before they are accepted: a burst beyond it waits a second
 /// for its repeated SYN.
 constexpr int kListenBacklog = 1024;
-constexpr milliseconds kAcceptInterval{50};
+constexpr milliseconds kAcceptInterval{100};
 constexpr int kThreadIdleSeconds = 60;
 
 }  // namespace
@@ -154,6 +154,11 @@
 
 std::string ConnectionAcceptor::Address() const { return this->state->address; }
 
+std::size_t ConnectionAcceptor::Connections() const {
+  const std::lock_guard lock(this->state->mutex);
+  return this->state->waiting.size() + static_cast<std::size_t>(this->state->open);
+}
+
 int ConnectionAcceptor::Open() const {
   const std::lock_guard lock(this->state->mutex);
   return this->state->open;
