Close the gaps that a review of the fixes found in stops, moves and full disks

By reading, with fresh eyes: a hand-over to an upstream that does not read asked for a stop only after the whole body was written; a request that had left a slow upstream was refused where the retry budget was empty, although it keeps looking; one moved to an upstream that had meanwhile said that it leaves; the acceptor closed connections beyond its queue, ended its last round at the first failure, did not start threads again during a stop and could wait for ever after an exception; a file that could not be written stayed and took the room that the next start needs.

Each is closed where it arises.

--- a/include/masticrill/net/connection_acceptor.h
+++ b/include/masticrill/net/connection_acceptor.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "masticrill/common/clock.h"
 #include "masticrill/common/result.h"
 
 namespace Poco::Net {  // NOLINT(readability-identifier-naming): a library's name.
@@ -18,7 +19,7 @@
   /// IP:PORT; port 0 lets the system choose.
   std::string address;
   int max_connections = 0;
-  /// Connections beyond those that wait for a thread are closed at once.
+  /// Accepted connections that may wait for a thread; further ones are left to the system.
   std::size_t max_waiting = 0;
   int thread_stack_bytes = 0;
 };
@@ -26,7 +27,8 @@
 /// Accepts connections and serves each on a thread of its own; further ones wait for a thread. A
 /// stop serves all that were accepted, those that wait and those that the listener holds included.
 ///
-/// Thread-safe; owns its threads. `serve` is called by many threads at once and must not throw.
+/// Thread-safe; owns its threads. `serve` is called by many threads at once; an exception ends its
+/// connection.
 class ConnectionAcceptor {
  public:
   using Serve = std::function<void(Poco::Net::StreamSocket&)>;
@@ -48,6 +50,9 @@
 
   /// Takes what waits in the listener and closes it; later callers are refused a connection.
   void StopAccepting();
+  /// Waits after StopAccepting until all connections have ended, at most until then. Returns
+  /// whether they have.
+  bool AwaitEnd(TimePoint until);
   /// Stops accepting and waits until all connections have ended.
   void Stop();
 
--- a/include/masticrill/net/socket_stream.h
+++ b/include/masticrill/net/socket_stream.h
@@ -47,6 +47,10 @@
   IoEnd Write(std::string_view data, TimePoint deadline, const SocketStream* watched = nullptr,
               bool stop_when_readable = false);
 
+  /// Write that takes what was written off the front of the data, so that it can go on later.
+  IoEnd WriteFrom(std::string_view& data, TimePoint deadline, const SocketStream* watched = nullptr,
+                  bool stop_when_readable = false);
+
   /// Whether the peer has closed the connection. Does not wait; bytes that have arrived stay.
   bool PeerLeft() const;
   /// Whether bytes or the connection's end can be read without waiting.
--- a/src/gateway/call_move.cc
+++ b/src/gateway/call_move.cc
@@ -58,7 +58,10 @@
   auto attempt = std::make_unique<UpstreamAttempt>(pick, this->context.protocol, this->context.pool,
                                                    this->context.settings);
   const AttemptEnd end = attempt->Connect(this->caller.Socket(), this->WaitUntil());
-  if (end != AttemptEnd::kAnswered) {
+  // It may have said meanwhile that it leaves, or asked for a pause.
+  const bool is_ready = end == AttemptEnd::kAnswered &&
+                        this->context.pool.MayStillSend(pick.upstream.id, this->clock.Now());
+  if (!is_ready) {
     this->context.budgets.For(this->service).PutBack();
     if (end == AttemptEnd::kNotConnected) {
       attempt->SetVerdict(AttemptVerdict::kFailure);
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -544,7 +544,7 @@
   if (decision.retry) {
     return NextStep::kTryAgain;
   }
-  if (this->caller.Begun() && decision.reason == routing::RetryReason::kRefusedBudget) {
+  if (this->KeepsLooking() && decision.reason == routing::RetryReason::kRefusedBudget) {
     // Waits after this attempt has ended its connection.
     this->awaits_retry = true;
     return NextStep::kTryAgain;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -35,7 +35,6 @@
 constexpr int kStatusConnections = 8;
 /// Control hosts answer within milliseconds; after this time another one is asked.
 constexpr milliseconds kConnectTimeout{250};
-constexpr Duration kStopPoll = milliseconds(50);
 constexpr double kMsPerSecond = 1000;
 
 /// Counts one more while it exists.
@@ -518,10 +517,7 @@
     }
     server_state.acceptor->StopAccepting();
     server_state.phase = StopPhase::kClosing;
-    while (server_state.acceptor->Connections() > 0 &&
-           server_state.clock.Now() - begin < server_state.options.stop_within) {
-      never.wait_for(wait, kStopPoll);
-    }
+    server_state.acceptor->AwaitEnd(begin + server_state.options.stop_within);
   }
   server_state.phase = StopPhase::kClosing;
   // Before the parts end, which may wait for answers longer than the process lasts.
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -128,8 +128,21 @@
   if (times.on_hand_over) {
     times.on_hand_over();
   }
-  // An upstream may answer before it has read the whole body.
-  return ToAttemptEnd(this->stream->Write(bytes, times.deadline, &caller, true));
+  std::string_view left = bytes;
+  while (true) {
+    const std::optional<TimePoint> stop_by = times.stop_by ? times.stop_by() : std::nullopt;
+    const TimePoint now = this->clock.Now();
+    if (stop_by && now >= *stop_by) {
+      return AttemptEnd::kStopping;
+    }
+    const TimePoint write_until = std::min(
+        {times.deadline, now + this->settings.stop_check, stop_by.value_or(TimePoint::max())});
+    // An upstream may answer before it has read the whole body.
+    const net::IoEnd end = this->stream->WriteFrom(left, write_until, &caller, true);
+    if (end != net::IoEnd::kTimeout || this->clock.Now() >= times.deadline) {
+      return ToAttemptEnd(end);
+    }
+  }
 }
 
 /// How the wait for an upstream that sends nothing ends now; absent when it goes on.
--- a/src/net/connection_acceptor.cc
+++ b/src/net/connection_acceptor.cc
@@ -7,13 +7,14 @@
 #include <Poco/RunnableAdapter.h>
 #include <Poco/ThreadPool.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
+#include <exception>
 #include <mutex>
 #include <thread>
 #include <utility>
 
-#include "masticrill/common/clock.h"
 #include "masticrill/common/log.h"
 
 namespace masticrill::net {
@@ -37,11 +38,16 @@
         pool(2, options.max_connections + 1, kThreadIdleSeconds, options.thread_stack_bytes),
         worker(*this, &State::Work) {}
 
+  /// What an attempt to accept a connection ended with.
+  enum class Accepted { kOne, kNone, kFailed };
+
   void Accept();
-  bool AcceptNext(Duration patience);
+  bool HasRoom() const;
+  Accepted AcceptNext(Duration patience);
   void Add(const Poco::Net::StreamSocket& socket);
   void StartWorkers();
   void Work();
+  void ServeOne(Poco::Net::StreamSocket& socket);
 
   ConnectionAcceptorOptions options;
   Serve serve;
@@ -62,43 +68,53 @@
 void ConnectionAcceptor::State::Accept() {
   std::unique_lock lock(this->mutex);
   while (!this->stopping) {
+    if (!this->HasRoom()) {
+      this->changed.wait_for(lock, kAcceptInterval,
+                             [this] { return this->stopping || this->HasRoom(); });
+      this->StartWorkers();
+      continue;
+    }
     lock.unlock();
-    const bool accepted = this->AcceptNext(kAcceptInterval);
+    const Accepted accepted = this->AcceptNext(kAcceptInterval);
     lock.lock();
-    if (!accepted) {
+    if (accepted != Accepted::kOne) {
       this->StartWorkers();
     }
   }
   lock.unlock();
-  while (this->AcceptNext(Duration(0))) {
+  // A connection that its peer has given up does not keep the ones behind it from being served.
+  int failures = 0;
+  for (Accepted last = Accepted::kOne; last != Accepted::kNone && failures <= kListenBacklog;
+       failures += last == Accepted::kFailed ? 1 : 0) {
+    last = this->AcceptNext(Duration(0));
   }
   this->listener.close();
 }
 
+/// Whether a further connection may wait for a thread. The caller holds the mutex.
+bool ConnectionAcceptor::State::HasRoom() const {
+  return this->waiting.size() < std::max<std::size_t>(this->options.max_waiting, 1);
+}
+
 /// Accepts a connection if one comes within that time.
-bool ConnectionAcceptor::State::AcceptNext(Duration patience) {
+ConnectionAcceptor::State::Accepted ConnectionAcceptor::State::AcceptNext(Duration patience) {
   try {
     const auto wait = duration_cast<std::chrono::microseconds>(patience).count();
     if (!this->listener.poll(Poco::Timespan(wait), Poco::Net::Socket::SELECT_READ)) {
-      return false;
+      return Accepted::kNone;
     }
-    Poco::Net::StreamSocket socket = this->listener.acceptConnection();
-    socket.setNoDelay(true);
-    this->Add(socket);
-    return true;
+    this->Add(this->listener.acceptConnection());
+    return Accepted::kOne;
   } catch (const Poco::Exception& exception) {
     kLog.Warning("A connection could not be accepted.", {{"reason", exception.displayText()}});
     std::unique_lock lock(this->mutex);
     this->changed.wait_for(lock, patience, [this] { return this->stopping; });
-    return false;
+    return Accepted::kFailed;
   }
 }
 
 void ConnectionAcceptor::State::Add(const Poco::Net::StreamSocket& socket) {
   const std::lock_guard lock(this->mutex);
-  if (!this->stopping && this->waiting.size() >= this->options.max_waiting) {
-    return;
-  }
   this->waiting.push_back(socket);
   this->StartWorkers();
 }
@@ -117,6 +133,15 @@
   }
 }
 
+void ConnectionAcceptor::State::ServeOne(Poco::Net::StreamSocket& socket) {
+  try {
+    socket.setNoDelay(true);
+    this->serve(socket);
+  } catch (const std::exception& exception) {
+    kLog.Error("A connection ended by an exception.", {{"cause", exception.what()}});
+  }
+}
+
 /// Serves connections until none waits.
 void ConnectionAcceptor::State::Work() {
   std::unique_lock lock(this->mutex);
@@ -126,7 +151,8 @@
       this->waiting.pop_front();
       ++this->open;
       lock.unlock();
-      this->serve(socket);
+      this->changed.notify_all();
+      this->ServeOne(socket);
     }
     lock.lock();
     --this->open;
@@ -181,14 +207,22 @@
   }
 }
 
-void ConnectionAcceptor::Stop() {
-  this->StopAccepting();
+bool ConnectionAcceptor::AwaitEnd(TimePoint until) {
+  const SystemClock clock;
   std::unique_lock lock(this->state->mutex);
   while (this->state->workers > 0 || !this->state->waiting.empty()) {
+    if (clock.Now() >= until) {
+      return false;
+    }
     this->state->StartWorkers();
-    this->state->changed.wait_for(lock, kAcceptInterval);
+    this->state->changed.wait_for(lock, std::min<Duration>(kAcceptInterval, until - clock.Now()));
   }
-  lock.unlock();
+  return true;
+}
+
+void ConnectionAcceptor::Stop() {
+  this->StopAccepting();
+  this->AwaitEnd(TimePoint::max());
   this->state->pool.joinAll();
 }
 
--- a/src/net/socket_stream.cc
+++ b/src/net/socket_stream.cc
@@ -174,6 +174,11 @@
 
 IoEnd SocketStream::Write(std::string_view data, TimePoint deadline, const SocketStream* watched,
                           bool stop_when_readable) {
+  return this->WriteFrom(data, deadline, watched, stop_when_readable);
+}
+
+IoEnd SocketStream::WriteFrom(std::string_view& data, TimePoint deadline,
+                              const SocketStream* watched, bool stop_when_readable) {
   if (!this->state->open) {
     return IoEnd::kReset;
   }
--- a/src/storage/file_log_storage_inl.h
+++ b/src/storage/file_log_storage_inl.h
@@ -92,6 +92,10 @@
   const Errno write_error = this->files.Write(handle, content);
   const Errno sync_error = write_error == 0 ? this->files.Sync(handle) : 0;
   this->files.Close(handle);
+  if ((write_error != 0 || sync_error != 0) && !this->options.is_process_private) {
+    // What was written of it may take the room that the next start needs.
+    this->files.Remove(temporary_path);
+  }
   BOOST_LEAF_CHECK(this->CheckErrno(write_error, "Writing a file"));
   BOOST_LEAF_CHECK(this->CheckErrno(sync_error, "Syncing a file"));
   if (this->options.is_process_private) {
