Discard a weak model's answer only when a stronger one's upstream is connected

A caller got 502 although an answer was there: the answer of a weak model was discarded before it was known that an upstream, the lease, the route and a planned stop let the request go on to a stronger one.

The checks and the connection of a move are made first; where they fail, the grant of the budget is returned and the answer at hand is relayed.

Measured: the new case failed before (502) and passes.

--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -109,12 +109,10 @@
     this->RecordFirstToken(attempt);
   }
   if (IsSuccess(status) && !this->caller.Begun() && this->context.prompts.MayRetry(this->parts) &&
-      this->ShouldEscalate(attempt)) {
+      this->ShouldEscalate(attempt) && this->PrepareEscalation()) {
     attempt.SetVerdict(AttemptVerdict::kSuccess);
     this->context.prompts.OnDiscarded(attempt.Upstream(), this->parts, this->clock.Now());
     ++this->context.metrics.escalated;
-    this->model_index = this->route->models.size() - 1;
-    this->tried.clear();
     return NextStep::kTryAgain;
   }
   if (this->route->kind == RouteKind::kStream && IsSuccess(status)) {
--- a/src/gateway/call_move.cc
+++ b/src/gateway/call_move.cc
@@ -38,42 +38,63 @@
   return false;
 }
 
-bool CallRunner::PrepareMove(std::uint32_t attempts_made) {
+bool CallRunner::MayHandOver() {
   const GatewayViewPtr newest = this->context.view();
-  if (this->context.prompts.FindBlocked(this->parts, this->clock.Now()) ||
-      this->CheckLease(*newest) || this->UseView(newest) || this->CheckTimeLeft()) {
-    return false;
-  }
-  const routing::RetryDecision decision =
-      this->TakeRetry(routing::HandOverState::kMayHaveRun, attempts_made);
-  if (!decision.retry) {
-    return false;
-  }
+  return !this->context.prompts.FindBlocked(this->parts, this->clock.Now()) &&
+         !this->CheckLease(*newest) && !this->UseView(newest) && !this->CheckTimeLeft();
+}
+
+bool CallRunner::ConnectNext() {
   const UpstreamPick pick =
       this->context.pool.Pick(this->MakeQuery(), this->clock.Now(), this->clock.WallNow());
   if (pick.status != PickStatus::kFound) {
-    this->context.budgets.For(this->service).PutBack();
     return false;
   }
   auto attempt = std::make_unique<UpstreamAttempt>(pick, this->context.protocol, this->context.pool,
                                                    this->context.settings);
   const AttemptEnd end = attempt->Connect(this->caller.Socket(), this->WaitUntil());
+  if (end == AttemptEnd::kNotConnected) {
+    attempt->SetVerdict(AttemptVerdict::kFailure);
+    this->tried.insert(pick.upstream.id);
+  }
   // It may have said meanwhile that it leaves, or asked for a pause.
-  const bool is_ready = end == AttemptEnd::kAnswered &&
-                        this->context.pool.MayStillSend(pick.upstream.id, this->clock.Now());
-  if (!is_ready) {
-    this->context.budgets.For(this->service).PutBack();
-    if (end == AttemptEnd::kNotConnected) {
-      attempt->SetVerdict(AttemptVerdict::kFailure);
-      this->tried.insert(pick.upstream.id);
-    }
+  if (end != AttemptEnd::kAnswered ||
+      !this->context.pool.MayStillSend(pick.upstream.id, this->clock.Now())) {
     return false;
   }
-  this->granted_retry = decision;
   this->next_pick = pick;
   this->next = std::move(attempt);
+  return true;
+}
+
+bool CallRunner::PrepareMove(std::uint32_t attempts_made) {
+  if (!this->MayHandOver()) {
+    return false;
+  }
+  const routing::RetryDecision decision =
+      this->TakeRetry(routing::HandOverState::kMayHaveRun, attempts_made);
+  if (!decision.retry) {
+    return false;
+  }
+  if (!this->ConnectNext()) {
+    this->context.budgets.For(this->service).PutBack();
+    return false;
+  }
+  this->granted_retry = decision;
   this->moved = true;
   return true;
 }
 
+bool CallRunner::PrepareEscalation() {
+  const std::size_t former_model = std::exchange(this->model_index, this->route->models.size() - 1);
+  std::set<UpstreamId> former_tried = std::exchange(this->tried, {});
+  if (this->MayHandOver() && this->ConnectNext()) {
+    return true;
+  }
+  this->model_index = former_model;
+  this->tried = std::move(former_tried);
+  this->context.budgets.For(this->service).PutBack();
+  return false;
+}
+
 }  // namespace masticrill::gateway
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -103,6 +103,13 @@
   /// Before the silent or slow upstream of the present attempt is abandoned: finds another one and
   /// connects to it. False while the request cannot go on elsewhere.
   bool PrepareMove(std::uint32_t attempts_made);
+  /// Before an answer is discarded for a stronger model's, which ShouldEscalate has granted: the
+  /// same. False, with the grant returned, where the request cannot go on.
+  bool PrepareEscalation();
+  /// Whether the newest configuration, a planned stop and the prompt allow a hand-over now.
+  bool MayHandOver();
+  /// Chooses an upstream and connects to it; `next` is then set.
+  bool ConnectNext();
   /// Whether the request waits for an upstream until its deadline: its caller has the beginning of
   /// a stream, or an upstream that might have answered it was abandoned.
   bool KeepsLooking() const;
--- a/test/gateway/move_elsewhere_test.cc
+++ b/test/gateway/move_elsewhere_test.cc
@@ -290,5 +290,30 @@
   CHECK(was_closed);
 }
 
+// Guards against an answer that is discarded for a stronger model's before another upstream is
+// known to take the request.
+TEST_CASE("an answer of a weak model is kept where no upstream can give a stronger one's") {
+  for (const bool has_other : {false, true}) {
+    CAPTURE(has_other);
+    RawUpstream weak([](const RawCall& call) {
+      call.Write(
+          "HTTP/1.1 200 OK\r\nSigned: 1\r\nSure: 0.1\r\nLeaves: 1\r\n"
+          "Content-Length: 4\r\n\r\nweak");
+    });
+    RawUpstream strong([](const RawCall& call) { call.Write(kWhole); });
+    Route route = RouteOf(RouteKind::kAtMostOnce, 2);
+    route.latency_target = milliseconds(5000);
+    route.models = {ModelId("m0"), ModelId("m1")};
+    GatewayPath path(route);
+    path.SetUpstreams(has_other ? std::vector{weak.Address(), strong.Address()}
+                                : std::vector{weak.Address()});
+    const CallerSaw saw = path.Send(
+        "POST /path HTTP/1.1\r\nHost: host\r\nId: r1\r\nConnection: close\r\nKey: good-key\r\n"
+        "Model: any\r\nContent-Length: 0\r\n\r\n");
+    CHECK(saw.Status() == 200);
+    CHECK(saw.bytes.ends_with(has_other ? "good" : "weak"));
+  }
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
