Send the evidence on roll-outs to the leader only, and count what processes send by kind of message

Cause: every control host collects the reports of all nodes twice a second, and each report carries the evidence on running roll-outs, which only the leader reads.

Change: a control host that knows a leader leaves the evidence out of its reports to all others. While it knows none it sends the whole.

Test: only the leader gets the evidence that entries have reported (test_control). On the code before, the reports have no such distinction; not run there.

--- a/include/masticrill/net/message_type.h
+++ b/include/masticrill/net/message_type.h
@@ -44,6 +44,8 @@
   kRenewReply,
   kFeaturesRequest,
   kFeaturesReply,
+  kLoadNotice,   // Sent as a datagram, not in a frame.
+  kLimitNotice,  // The same.
 };
 
 }  // namespace masticrill::net
--- a/src/control/node_registry.cc
+++ b/src/control/node_registry.cc
@@ -31,7 +31,7 @@
                                LastRequest{request, now});
 }
 
-std::vector<net::NodeReport> NodeRegistry::Reports(TimePoint now) {
+std::vector<net::NodeReport> NodeRegistry::Reports(TimePoint now, ReportDetail detail) {
   std::vector<net::NodeReport> reports;
   for (Shard& shard : this->shards) {
     const std::scoped_lock lock(shard.mutex);
@@ -46,7 +46,9 @@
                          .known_number = last.request.known_number,
                          .age_ms = duration_cast<milliseconds>(now - last.received_at).count(),
                          .control_host = this->control_host,
-                         .rollouts = last.request.rollouts,
+                         .rollouts = detail == ReportDetail::kWhole
+                                         ? last.request.rollouts
+                                         : std::vector<net::RolloutReport>(),
                          .load_address = last.request.load_address});
     }
   }
@@ -60,7 +62,7 @@
                                  LastReport{report, now});
 }
 
-std::vector<net::AgedEntryReport> NodeRegistry::EntryReports(TimePoint now) {
+std::vector<net::AgedEntryReport> NodeRegistry::EntryReports(TimePoint now, ReportDetail detail) {
   std::vector<net::AgedEntryReport> reports;
   for (Shard& shard : this->shards) {
     const std::scoped_lock lock(shard.mutex);
@@ -69,6 +71,9 @@
     });
     for (const auto& [incarnation, last] : shard.reports) {
       reports.push_back({last.report, duration_cast<milliseconds>(now - last.received_at).count()});
+      if (detail == ReportDetail::kWithoutRollouts) {
+        reports.back().report.waits.clear();
+      }
     }
   }
   return reports;
--- a/src/control/node_registry.h
+++ b/src/control/node_registry.h
@@ -22,6 +22,12 @@
   friend auto operator<=>(const NodeIncarnation&, const NodeIncarnation&) = default;
 };
 
+/// How much of the reports of nodes another control host gets.
+enum class ReportDetail {
+  kWhole,
+  kWithoutRollouts,  // Without the evidence on roll-outs, most of a report, which leaders judge.
+};
+
 /// The nodes that request leases from this control host. Thread-safe: nodes are kept in shards,
 /// each under its own lock.
 class NodeRegistry {
@@ -31,9 +37,10 @@
   void Record(const net::LeaseRequest& request, TimePoint now);
   void RecordReport(const net::EntryReport& report, TimePoint now);
   /// One report for each incarnation of each node. Drops those without a request for kRetention.
-  std::vector<net::NodeReport> Reports(TimePoint now);
+  std::vector<net::NodeReport> Reports(TimePoint now, ReportDetail detail = ReportDetail::kWhole);
   /// The last report of each incarnation of an entry. Drops those older than kReportRetention.
-  std::vector<net::AgedEntryReport> EntryReports(TimePoint now);
+  std::vector<net::AgedEntryReport> EntryReports(TimePoint now,
+                                                 ReportDetail detail = ReportDetail::kWhole);
 
  private:
   static constexpr std::size_t kShardCount = 16;
--- a/src/control/operator_metrics.cc
+++ b/src/control/operator_metrics.cc
@@ -1,4 +1,5 @@
 #include "control/operator_api.h"
+#include "masticrill/net/traffic.h"
 
 namespace masticrill::control {
 
@@ -22,6 +23,7 @@
   writer.Counter("masticrill_control_upkeep_rounds_total",
                  "Rounds of upkeep that this replica completed as the leader.",
                  this->parts.upkeep.Rounds());
+  net::WriteTraffic(writer, net::Sent());
   writer.Counter("masticrill_control_commands_applied_total", "Commands applied.",
                  status.counters.commands_applied);
   writer.Counter("masticrill_control_syncs_total", "Syncs of the replica's files.",
--- a/src/control/rpc_service.cc
+++ b/src/control/rpc_service.cc
@@ -88,13 +88,13 @@
     return {};
   }
   if (frame.type == net::MessageType::kFleetRequest) {
-    channel->Send(frame.correlation,
-                  net::FleetReply{this->parts.nodes.Reports(SystemClock().Now())});
+    channel->Send(frame.correlation, net::FleetReply{this->parts.nodes.Reports(
+                                         SystemClock().Now(), this->DetailFor(channel->Peer()))});
     return {};
   }
   if (frame.type == net::MessageType::kEntryReportsRequest) {
-    channel->Send(frame.correlation,
-                  net::EntryReportsReply{this->parts.nodes.EntryReports(SystemClock().Now())});
+    channel->Send(frame.correlation, net::EntryReportsReply{this->parts.nodes.EntryReports(
+                                         SystemClock().Now(), this->DetailFor(channel->Peer()))});
     return {};
   }
   if (frame.type == net::MessageType::kFeaturesRequest) {
@@ -120,6 +120,14 @@
   return {};
 }
 
+/// All control hosts collect the reports of all nodes, so what only the leader reads would go out
+/// once for each of them.
+ReportDetail RpcService::DetailFor(const net::Identity& peer) const {
+  const consensus::ReplicaId leader = this->parts.replica.Status().replica.leader;
+  return leader.Empty() || leader.node == peer.node ? ReportDetail::kWhole
+                                                    : ReportDetail::kWithoutRollouts;
+}
+
 Result<void> RpcService::Propose(const std::shared_ptr<net::Channel>& channel,
                                  const net::Frame& frame) {
   BOOST_LEAF_AUTO(request, net::DecodePayload<net::ProposeRequest>(frame.payload));
--- a/src/control/rpc_service.h
+++ b/src/control/rpc_service.h
@@ -42,6 +42,8 @@
   Result<void> Answer(const std::shared_ptr<net::Channel>& channel, const net::Frame& frame);
   Result<void> AnswerReplica(const std::shared_ptr<net::Channel>& channel, const net::Frame& frame);
   Result<void> Propose(const std::shared_ptr<net::Channel>& channel, const net::Frame& frame);
+  /// What a control host needs of the reports that this host has received.
+  ReportDetail DetailFor(const net::Identity& peer) const;
   Result<void> HandleEnvelope(const net::Identity& peer, const net::Frame& frame);
 
   RpcParts parts;
--- a/src/net/channel.cc
+++ b/src/net/channel.cc
@@ -13,6 +13,7 @@
 #include "masticrill/common/hash.h"
 #include "masticrill/common/random.h"
 #include "masticrill/net/keep_alive.h"
+#include "masticrill/net/traffic.h"
 
 namespace masticrill::net {
 namespace {
@@ -100,7 +101,10 @@
     }
   }
 
-  void WriteFrame(const Frame& frame) { this->WriteAll(EncodeHeader(frame) + frame.payload); }
+  void WriteFrame(const Frame& frame) {
+    this->WriteAll(EncodeHeader(frame) + frame.payload);
+    Sent().Add(frame.type, kHeaderBytes + frame.payload.size());
+  }
 
   template <typename Message>
   void Write(const Message& message) {
--- a/test/control/fleet_view_test.cc
+++ b/test/control/fleet_view_test.cc
@@ -100,5 +100,60 @@
   CHECK(silent.event_when_given_up);
 }
 
+/// The answer of the host at the address to a node with these credentials.
+template <typename Reply, typename Request>
+Reply Ask(const std::string& address, const net::Credentials& node, const Request& request) {
+  net::RpcClient client(address, node, {});
+  return HandleErrors([&] { return client.Call<Reply>(request, kGenerous); },
+                      [](const Error& error) {
+                        FAIL(error.message);
+                        return Reply();
+                      });
+}
+
+// Failure: while a version is rolled out, the evidence of every entry is sent to every control host
+// twice a second, which grows with the entries times the control hosts.
+TEST_CASE("only the leader gets the evidence on roll-outs that entries have reported") {
+  ControlCluster cluster(3);
+  cluster.StartAll();
+  const std::size_t leader = cluster.WaitForLeader();
+  const std::size_t asked = cluster.Follower();
+  const std::size_t other = 3 - leader - asked;
+  const std::string address = cluster.At(asked).RpcAddress();
+  net::LeaseRequest lease;
+  lease.node = NodeId("e-1");
+  lease.incarnation = IncarnationId("i-e-1");
+  lease.load_address = "127.0.0.1:1";
+  lease.rollouts = {{ServiceId("service"), VersionId("v2"), {}, {}}};
+  Ask<net::LeaseReply>(address, NodeCredentials("e-1"), lease);
+  net::EntryReport report;
+  report.node = lease.node;
+  report.incarnation = lease.incarnation;
+  report.demand = 7;
+  report.waits = {{ServiceId("service"), VersionId("v2"), {}, {}}};
+  Ask<net::EntryReportReply>(address, NodeCredentials("e-1"), report);
+
+  const auto as_replica = [&](std::size_t index) {
+    return NodeCredentials("c" + std::to_string(index), net::NodeRole::kControl);
+  };
+  const auto nodes_for = [&](std::size_t index) {
+    return Ask<net::FleetReply>(address, as_replica(index), net::FleetRequest{}).nodes;
+  };
+  const auto reports_for = [&](std::size_t index) {
+    return Ask<net::EntryReportsReply>(address, as_replica(index), net::EntryReportsRequest{})
+        .reports;
+  };
+  REQUIRE(nodes_for(leader).size() == 1);
+  REQUIRE(nodes_for(other).size() == 1);
+  CHECK(nodes_for(leader).front().rollouts == lease.rollouts);
+  CHECK(nodes_for(other).front().rollouts.empty());
+  CHECK(nodes_for(other).front().load_address == lease.load_address);
+  REQUIRE(reports_for(leader).size() == 1);
+  REQUIRE(reports_for(other).size() == 1);
+  CHECK(reports_for(leader).front().report.waits == report.waits);
+  CHECK(reports_for(other).front().report.waits.empty());
+  CHECK(reports_for(other).front().report.demand == report.demand);
+}
+
 }  // namespace
 }  // namespace masticrill::control
