Read the platform's list only where it is used, and have it ready after a start of the whole group

Cause: an entry read all pages of the list of upstreams at its start and every 0.7 s until it had a lease, though without one it sends nothing; after a loss of power all entries did so at once. The leader read it twice a second.

Change: an entry reads the list itself only while it holds a lease and the shared one is older than 1.8 s. Each control host reads it once at its start, as version 1, below the leaders' versions, so that first leases come with a list. The leader reads every 700 ms; a shared list then reaches an entry at an age of 1.5 s at most, below the 1.8 s.

--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -57,7 +57,7 @@
   Duration remove_learner_after = seconds(60);
   /// How often the leader reads the shared list, and how often the other control hosts poll the
   /// leader for it.
-  Duration list_read_interval = milliseconds(500);
+  Duration list_read_interval = milliseconds(700);
   Duration list_poll_interval = milliseconds(200);
   /// How often the leader checks for lost entries and for learners that have caught up, and every
   /// control host updates the fleet information for its nodes.
--- a/src/control/list_service.cc
+++ b/src/control/list_service.cc
@@ -13,6 +13,8 @@
 constexpr Duration kCallTimeout = milliseconds(500);
 /// Wait between the calls of RunOnce on a host where no list is shared.
 constexpr Duration kNoListInterval = std::chrono::hours(24);
+/// The version of a list that a host has read for itself: below those of all leaders.
+constexpr std::uint64_t kFirstVersion = 1;
 
 }  // namespace
 
@@ -37,9 +39,12 @@
   if (!this->options.read_list) {
     return kNoListInterval;
   }
+  if (!std::exchange(this->has_begun, true)) {
+    this->ReadSource();
+  }
   const consensus::ReplicaStatus status = this->replica.Status().replica;
   if (status.role == consensus::Role::kLeader) {
-    this->ReadAsLeader();
+    this->ReadSource();
     return this->options.timings.list_read_interval;
   }
   if (!status.leader.Empty()) {
@@ -48,15 +53,16 @@
   return this->options.timings.list_poll_interval;
 }
 
-void ListService::ReadAsLeader() {
+void ListService::ReadSource() {
+  const bool is_leader = this->replica.Status().replica.role == consensus::Role::kLeader;
   const bool read = HandleErrors(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(bytes, this->options.read_list());
-        std::uint64_t version = 0;
-        {
+        std::uint64_t version = kFirstVersion;
+        if (is_leader) {
           const std::scoped_lock lock(this->mutex);
           version = this->list.version;
-          if (version == 0 || bytes != this->list.bytes) {
+          if (version <= kFirstVersion || bytes != this->list.bytes) {
             // The wall-clock time keeps the versions of a new leader above those of earlier
             // leaders.
             version = std::max(version + 1, static_cast<std::uint64_t>(this->clock.WallNow()));
--- a/src/control/list_service.h
+++ b/src/control/list_service.h
@@ -26,7 +26,9 @@
 
  private:
   Duration RunOnce();
-  void ReadAsLeader();
+  /// As the leader, which reads for all, or once on a host that has just started, so that the first
+  /// leases after a start of the whole group come with a list.
+  void ReadSource();
   void FetchFromLeader(const NodeId& leader);
   void Store(std::uint64_t version, std::string bytes, Duration age);
 
@@ -35,6 +37,7 @@
   AddressBook& addresses;
   SystemClock clock;
   bool failing = false;
+  bool has_begun = false;
   mutable std::mutex mutex;
   net::SharedList list;
   TimePoint read_at;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -21,6 +21,7 @@
 #include "masticrill/gateway/upstream_pool.h"
 #include "masticrill/net/connection_acceptor.h"
 #include "masticrill/net/http_server.h"
+#include "masticrill/net/traffic.h"
 #include "masticrill/node/control_link.h"
 #include "masticrill/node/lease_client.h"
 
@@ -154,8 +155,11 @@
   this->link =
       std::make_shared<node::ControlLink>(this->options.control_addresses, credentials,
                                           net::ChannelLimits{.connect_timeout = kConnectTimeout});
-  this->list_updater = std::make_unique<UpstreamListUpdater>(std::move(read_list), this->pool,
-                                                             this->options.list_interval);
+  this->list_updater = std::make_unique<UpstreamListUpdater>(
+      std::move(read_list), this->pool, this->options.list_interval, [this] {
+        const GatewayViewPtr current = this->View();
+        return current != nullptr && current->HasLease(this->clock.Now());
+      });
   node::LeaseClient::Options extras;
   extras.renew_interval = this->options.renew_interval;
   extras.report_rollouts = [this] { return this->ReportRollouts(); };
@@ -449,6 +453,7 @@
   writer.Counter("masticrill_log_lines_dropped_total",
                  "Log lines that were dropped because their reader was too slow.",
                  DroppedLogLines());
+  net::WriteTraffic(writer, net::Sent());
   return this->metrics.Text() + writer.Text();
 }
 
--- a/src/gateway/upstream_list_updater.cc
+++ b/src/gateway/upstream_list_updater.cc
@@ -12,12 +12,14 @@
 /// How long a shared list is considered current. Covers the interval at which it is read, and the
 /// transfer from the leader through another control host to this entry.
 constexpr Duration kSharedListLifetime = milliseconds(1800);
+/// How often it is checked whether the list must be read here.
+constexpr Duration kCheckInterval = milliseconds(100);
 
 }  // namespace
 
 UpstreamListUpdater::UpstreamListUpdater(UpstreamListReader read_list, UpstreamPool& pool,
-                                         Duration interval)
-    : read_list(std::move(read_list)), pool(pool), interval(interval) {
+                                         Duration interval, UseCheck in_use)
+    : read_list(std::move(read_list)), pool(pool), interval(interval), in_use(std::move(in_use)) {
   this->thread = std::thread([this] { this->Run(); });
 }
 
@@ -38,11 +40,13 @@
   std::unique_lock lock(this->mutex);
   while (!this->stopped) {
     lock.unlock();
-    if (!this->IsSharedListFresh()) {
+    Duration pause = std::min(kCheckInterval, this->interval);
+    if (!this->IsSharedListFresh() && this->in_use()) {
       this->ReadList();
+      pause = this->interval;
     }
     lock.lock();
-    this->stopping.wait_for(lock, this->interval, [this] { return this->stopped; });
+    this->stopping.wait_for(lock, pause, [this] { return this->stopped; });
   }
 }
 
--- a/src/gateway/upstream_list_updater.h
+++ b/src/gateway/upstream_list_updater.h
@@ -2,6 +2,7 @@
 #define MASTICRILL_GATEWAY_UPSTREAM_LIST_UPDATER_H_
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -16,8 +17,13 @@
 /// read leaves the list unchanged. OnSharedList may be called by any thread.
 class UpstreamListUpdater {
  public:
+  /// Whether the list is in use: an entry without a lease sends nothing to upstreams, and gets the
+  /// list with its lease. Called by the updater's thread.
+  using UseCheck = std::function<bool()>;
+
   /// The pool outlives the updater.
-  UpstreamListUpdater(UpstreamListReader read_list, UpstreamPool& pool, Duration interval);
+  UpstreamListUpdater(UpstreamListReader read_list, UpstreamPool& pool, Duration interval,
+                      UseCheck in_use);
   ~UpstreamListUpdater();
   UpstreamListUpdater(const UpstreamListUpdater&) = delete;
   UpstreamListUpdater& operator=(const UpstreamListUpdater&) = delete;
@@ -35,6 +41,7 @@
   UpstreamListReader read_list;
   UpstreamPool& pool;
   Duration interval;
+  UseCheck in_use;
   SystemClock clock;
   bool failing = false;
   /// Held while a list is passed to the pool, so that a list read here never replaces a newer
--- a/test/gateway/upstream_list_test.cc
+++ b/test/gateway/upstream_list_test.cc
@@ -47,7 +47,7 @@
         ++reads;
         return UpstreamList{Cold("own")};
       },
-      pool, milliseconds(1));
+      pool, milliseconds(1), [] { return true; });
   CHECK(fakes::WaitUntil([&] { return reads >= 3; }));
   updater.OnSharedList(EncodeUpstreamList({Cold("a"), Cold("b")}), Duration::zero());
   CHECK(pool.UpstreamCount() == 2);
@@ -56,5 +56,29 @@
   CHECK(pool.UpstreamCount() == 2);
 }
 
+// Failure: after a loss of power, each entry of a large fleet reads all pages of the list again and
+// again until a control group grants it a lease, a thousand calls to the source for nothing.
+TEST_CASE("an entry without a lease does not read the list, and one that gets a lease does") {
+  UpstreamPool pool(PoolSettings{.own_domain = FailureDomainId("d")}, Random(1));
+  std::atomic<int> checks = 0;
+  std::atomic<int> reads = 0;
+  std::atomic<bool> has_lease = false;
+  UpstreamListUpdater updater(
+      [&]() -> Result<UpstreamList> {
+        ++reads;
+        return UpstreamList{Cold("own")};
+      },
+      pool, milliseconds(1),
+      [&] {
+        ++checks;
+        return has_lease.load();
+      });
+  CHECK(fakes::WaitUntil([&] { return checks >= 5; }));
+  CHECK(reads == 0);
+  has_lease = true;
+  CHECK(fakes::WaitUntil([&] { return reads >= 2; }));
+  CHECK(pool.UpstreamCount() == 1);
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
