Keep short requests in their failure domain, and count as shared only what the key names

Cause: the choice counted every shared part of a prompt as saved at the key's two upstreams.

Change: only the last shared part counts as saved; another domain costs, besides 5 in 100 of the work, 25 prompt tokens of the strongest model a kilobyte of request and allowed answer. Long documents still go where their part is cached.

Tests name the patterns (lossy links, burst in one failure domain).

--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -68,6 +68,11 @@
   /// The extra cost of a token of a shared prompt part that an upstream has to process again, as a
   /// multiple of the work of one prompt token of the strongest model.
   double recompute_price = 0.5;
+  /// The extra cost of an upstream in another failure domain: a share of the request's work, and
+  /// for each kilobyte of the request and its expected answer as much as so many prompt tokens of
+  /// the strongest model.
+  double remote_penalty = 0.05;
+  double remote_tokens_per_kilobyte = 25;
   /// An answer whose confidence, from 0 to 1, is lower is discarded for a stronger model's. Indexed
   /// by the rank of the request's route; the last value holds for all further ranks. The targets
   /// are higher for important routes, whose answers justify the cost of a strong model more often.
--- a/include/masticrill/gateway/upstream_choice.h
+++ b/include/masticrill/gateway/upstream_choice.h
@@ -16,13 +16,18 @@
 /// The expected work of a request at an upstream, in prompt tokens of the strongest model; where
 /// the upstreams of the service are no model engines, each request counts as one.
 struct WorkEstimate {
-  /// The part of the prompt that other requests share. An upstream that has it cached skips it.
+  /// The part of the prompt that the affinity key names, which other requests share. An upstream
+  /// that has it cached skips it. What stands before it is shared by so many requests that every
+  /// upstream is expected to have it.
   double shared = 0;
   /// The part of the prompt that only this request has.
   double own = 1;
   /// The extra cost of processing the shared part at an upstream that has not cached it, besides
   /// that work itself; in the same unit.
   double recompute_cost = 0;
+  /// The extra cost of an upstream in another failure domain, in the same unit: request and answer
+  /// cross a link that is paid for and that may lose packets.
+  double remote_cost = 0;
 
   friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
 };
@@ -53,9 +58,6 @@
   /// The share of the shared work that is saved at the affinity key's second upstream, which takes
   /// its requests when the first one is loaded.
   double second_upstream_saving = 0.5;
-  /// The extra cost of a request in another failure domain, as a share of its work.
-  double remote_penalty = 0.05;
-
   friend bool operator==(const ChoiceSettings&, const ChoiceSettings&) = default;
 };
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -251,28 +251,55 @@
   return this->arrived_at + duration_cast<Duration>(target * factor);
 }
 
-/// The prompt's tokens, weighted by the model's cost relative to the strongest one: a strong model
-/// takes more of an engine's time.
-WorkEstimate CallRunner::EstimateWork() const {
+/// The cost of a prompt token relative to the strongest model's: a strong model takes more of an
+/// engine's time. 0 where the service's upstreams are no model engines.
+double CallRunner::ModelWeight() const {
   const DeclaredService* declared = this->view->table->FindService(this->service);
   if (declared == nullptr || !declared->is_engine) {
-    return {0, 1, 0};
+    return 0;
   }
-  double weight = 1;
-  if (this->metadata.any_model && !this->route->models.empty()) {
-    weight = declared->RelativeCost(this->route->models.at(this->model_index));
+  return this->metadata.any_model && !this->route->models.empty()
+             ? declared->RelativeCost(this->route->models.at(this->model_index))
+             : 1;
+}
+
+/// The kilobytes of the request and of the answer that it allows.
+double CallRunner::EstimateKilobytes() const {
+  constexpr double kBytesPerKilobyte = 1000;
+  constexpr double kEventBytes = 120;
+  double events = 0;
+  if (const DeclaredService* declared = this->view->table->FindService(this->service);
+      declared != nullptr && this->route->kind == RouteKind::kStream) {
+    events = static_cast<double>(this->metadata.max_output_tokens) /
+             static_cast<double>(declared->tokens_per_event);
   }
+  return (static_cast<double>(this->body.size()) + events * kEventBytes) / kBytesPerKilobyte;
+}
+
+WorkEstimate CallRunner::EstimateWork() const {
+  const CallSettings& settings = this->context.settings;
+  const double weight = this->ModelWeight();
+  if (weight == 0) {
+    return {0, 1, 0, settings.remote_penalty};
+  }
+  double shared_parts = 0;
   double shared = 0;
   for (std::size_t index = 0; index + 1 < this->metadata.prompt.size(); ++index) {
-    shared += static_cast<double>(this->metadata.prompt[index].tokens);
-  }
-  const double own = std::max(static_cast<double>(this->metadata.prompt_tokens) - shared, 1.0);
-  return {shared * weight, own * weight, shared * this->context.settings.recompute_price};
+    shared = static_cast<double>(this->metadata.prompt[index].tokens);
+    shared_parts += shared;
+  }
+  const double own =
+      std::max(static_cast<double>(this->metadata.prompt_tokens) - shared_parts, 1.0);
+  return {shared * weight, own * weight, shared * settings.recompute_price,
+          settings.remote_penalty * (shared + own) * weight +
+              settings.remote_tokens_per_kilobyte * this->EstimateKilobytes()};
 }
 
 routing::RequestGroup CallRunner::Group() const {
-  const WorkEstimate work = this->EstimateWork();
-  return routing::GroupOf(this->route->id.Value(), work.shared + work.own);
+  const double weight = this->ModelWeight();
+  return routing::GroupOf(
+      this->route->id.Value(),
+      weight == 0 ? 1 : static_cast<double>(this->metadata.prompt_tokens) * weight);
 }
 
 UpstreamQuery CallRunner::MakeQuery() const {
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -95,6 +95,8 @@
   /// When a wait ends that the deadline would end, with regard to a planned stop.
   TimePoint WaitUntil() const;
   void ChooseService();
+  double ModelWeight() const;
+  double EstimateKilobytes() const;
   WorkEstimate EstimateWork() const;
   /// The requests with which this one's time to the first token is compared.
   routing::RequestGroup Group() const;
--- a/src/gateway/upstream_choice.cc
+++ b/src/gateway/upstream_choice.cc
@@ -67,8 +67,9 @@
       recompute_share = 1 - settings.second_upstream_saving;
     }
     const double added = work.own + work.shared * recompute_share;
-    const double penalty = candidate.local ? 0 : settings.remote_penalty * (work.own + work.shared);
-    const double cost = candidate.load + added + work.recompute_cost * recompute_share + penalty;
+    const double remote_cost = candidate.local ? 0 : work.remote_cost;
+    const double cost =
+        candidate.load + added + work.recompute_cost * recompute_share + remote_cost;
     if (!best.index || cost < best_cost) {
       ties = 1;
     } else if (cost == best_cost) {
--- a/test/gateway/upstream_choice_test.cc
+++ b/test/gateway/upstream_choice_test.cc
@@ -81,16 +81,66 @@
 TEST_CASE("a local upstream is preferred at equal load, and a less loaded remote one otherwise") {
   std::vector<Candidate> candidates = Equal(3);
   candidates[2].local = true;
+  const WorkEstimate work{0, 1, 0, 0.05};
   Random random(4);
   for (int request = 0; request < 20; ++request) {
-    CHECK(*ChooseUpstream(candidates, "", {0, 1, 0}, {}, random).index == 2);
+    CHECK(*ChooseUpstream(candidates, "", work, {}, random).index == 2);
   }
   candidates[2].load = 10;
   for (int request = 0; request < 20; ++request) {
-    CHECK(*ChooseUpstream(candidates, "", {0, 1, 0}, {}, random).index != 2);
+    CHECK(*ChooseUpstream(candidates, "", work, {}, random).index != 2);
   }
 }
 
+/// Three upstreams in each of three failure domains; the first domain is the own one.
+std::vector<Candidate> ThreeDomains() {
+  std::vector<Candidate> candidates = Equal(9);
+  for (std::size_t index = 0; index < 3; ++index) {
+    candidates[index].local = true;
+  }
+  return candidates;
+}
+
+/// How many of 300 requests, each with another key, leave the failure domain.
+int CountRemote(const std::vector<Candidate>& candidates, const WorkEstimate& work) {
+  Random random(8);
+  int remote = 0;
+  for (int key = 0; key < 300; ++key) {
+    const UpstreamDecision decision =
+        ChooseUpstream(candidates, "part-" + std::to_string(key), work, {}, random);
+    remote += candidates[*decision.index].local ? 0 : 1;
+  }
+  return remote;
+}
+
+TEST_CASE("lossy links: a request leaves its failure domain only for what that saves") {
+  // Pattern: links between failure domains lose packets. Each event of a stream that crosses one
+  // may come late, and its bytes are paid for.
+  const std::vector<Candidate> candidates = ThreeDomains();
+  // A chat message: 79 of 826 tokens lie in the part that its key names; 8 kilobytes cross a link.
+  CHECK(CountRemote(candidates, {79, 628, 40, 235}) == 0);
+  // A long document with most of it in that part: two in three of its keys have their upstreams in
+  // other domains, and processing the part again costs more than the link.
+  const int remote = CountRemote(candidates, {4870, 6610, 2435, 1000});
+  CHECK(remote > 150);
+  CHECK(remote < 250);
+}
+
+TEST_CASE(
+    "burst in one failure domain: short requests go to other domains when its upstreams lag") {
+  std::vector<Candidate> candidates = ThreeDomains();
+  const WorkEstimate work{79, 628, 40, 235};
+  Random random(9);
+  int remote = 0;
+  for (int request = 0; request < 300; ++request) {
+    const UpstreamDecision decision = ChooseUpstream(candidates, "", work, {}, random);
+    candidates[*decision.index].load += decision.work;
+    remote += candidates[*decision.index].local ? 0 : 1;
+  }
+  // The own domain gets its third and what the link is worth, not all of it.
+  CHECK(remote >= 190);
+}
+
 TEST_CASE("without candidates no upstream is chosen") {
   Random random(5);
   CHECK_FALSE(ChooseUpstream({}, "key", {}, {}, random).index);
