Ask for the lease again right before the first byte of a request is sent

Change: asked again after the connection is there. A request that is withheld does not count its upstream as tried, and is refused for the reason that holds (no_lease).

Test: a lease that runs out between the choice of an upstream and the hand-over, for all three kinds of routes.

--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -376,6 +376,7 @@
   times.answer_by = this->deadline;
   times.max_silence = this->context.settings.upstream_silence;
   times.stop_by = this->context.answer_by;
+  times.may_hand_over = [this] { return !this->CheckLease(*this->context.view()); };
   times.on_hand_over = [this] { this->slot.Reach(CallStage::kHandedOver); };
   if (!this->route->Repeatable()) {
     return times;
@@ -509,6 +510,7 @@
                    this->context.settings.retry_after);
       return NextStep::kStop;
     case AttemptEnd::kWithheld:
+      this->tried.erase(attempt.Upstream().id);
       return NextStep::kTryAgain;
     case AttemptEnd::kNotRun:
       if (attempt.Metadata().other_upstream) {
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -87,7 +87,8 @@
     }
   }
   // It may have asked for a pause, or said that it leaves, since it was chosen.
-  if (!this->pool.MayStillSend(this->upstream.id, this->clock.Now())) {
+  if (!this->pool.MayStillSend(this->upstream.id, this->clock.Now()) ||
+      (times.may_hand_over && !times.may_hand_over())) {
     return AttemptEnd::kWithheld;
   }
   if (const AttemptEnd end = this->HandOver(request, parameters, body, caller, times);
@@ -108,8 +109,8 @@
   if (end == net::IoEnd::kWatchedLeft) {
     return AttemptEnd::kCallerDisconnected;
   }
-  return this->stream == nullptr ? AttemptEnd::kNotConnected : AttemptEnd::kAnswered;
   this->connection_refused = end == net::IoEnd::kReset;
+  return this->stream == nullptr ? AttemptEnd::kNotConnected : AttemptEnd::kAnswered;
 }
 
 AttemptEnd UpstreamAttempt::HandOver(const net::RequestHead& request,
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -21,8 +21,9 @@
   kAnswered,      // The head or the next part of the answer has been read.
   kFinished,      // The answer is complete.
   kNotConnected,  // The connection failed; nothing was handed over.
-  kWithheld,      // The upstream no longer wants the request; nothing was handed over.
-  kNotRun,        // The upstream states that it did not run the request.
+  kWithheld,  // The upstream no longer wants the request, or it may no longer be sent; nothing was
+              // handed over.
+  kNotRun,    // The upstream states that it did not run the request.
   kBroken,    // The connection broke, or the bytes received are no valid answer to this request.
   kSilent,    // The upstream has sent nothing for too long, to this or any other request.
   kSlow,      // No answer began within the time that the request allows one upstream.
@@ -45,6 +46,9 @@
   std::function<bool()> prepare_move;
   /// When a planned stop of this process ends the wait; absent while none has begun.
   std::function<std::optional<TimePoint>()> stop_by;
+  /// Called right before the first byte of the request is sent: whether it may still be. Connecting
+  /// takes time, in which a permission can run out.
+  std::function<bool()> may_hand_over;
   /// Called before the first byte of the request is sent.
   std::function<void()> on_hand_over;
 };
@@ -73,10 +77,6 @@
 
   /// What the attempt says about the upstream's health; neutral unless set.
   void SetVerdict(AttemptVerdict next) { this->verdict = next; }
-  /// Whether the upstream may have begun to work on the request.
-  bool HandedOver() const { return this->handed_over; }
-  const net::AnswerHead& Head() const { return this->head; }
-  const AnswerMetadata& Metadata() const { return this->metadata; }
   /// Records, after kNotConnected, what that says about the upstream's health.
   void SetNotConnected() {
     this->verdict = this->connection_refused ? AttemptVerdict::kConnectionRefused
@@ -84,6 +84,10 @@
   }
   /// Whether nothing listens at the upstream's address.
   bool ConnectionRefused() const { return this->connection_refused; }
+  /// Whether the upstream may have begun to work on the request.
+  bool HandedOver() const { return this->handed_over; }
+  const net::AnswerHead& Head() const { return this->head; }
+  const AnswerMetadata& Metadata() const { return this->metadata; }
   const ListedUpstream& Upstream() const { return this->upstream; }
   /// Whether the upstream ended the connection, or it was reset, after the hand-over.
   bool ConnectionLost() const { return this->connection_lost; }
@@ -125,11 +129,11 @@
   bool handed_over = false;
   bool answer_begun = false;
   bool connection_lost = false;
+  bool connection_refused = false;
   TimePoint started_at;
   TimePoint answered_at;
   TimePoint last_received_at;
 };
-  bool connection_refused = false;
 
 }  // namespace masticrill::gateway
 
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -183,6 +183,9 @@
   std::atomic<bool> lease_valid = true;
   /// How many of the next requests for the configuration find its lease lapsed.
   std::atomic<int> lapsed_views = 0;
+  /// How many of the next requests for the configuration find its lease valid, before it lapses;
+  /// negative while it does not.
+  std::atomic<int> valid_views = -1;
   /// How often connections have asked for the limits.
   std::atomic<int> limit_reads = 0;
   /// When this node ends at the latest; the greatest time while it is not stopping.
@@ -208,6 +211,11 @@
       --this->lapsed_views;
       return false;
     }
+    if (this->valid_views > 0) {
+      --this->valid_views;
+    } else if (this->valid_views == 0) {
+      return false;
+    }
     return this->lease_valid;
   }
 
--- a/test/gateway/call_runner_test.cc
+++ b/test/gateway/call_runner_test.cc
@@ -94,6 +94,24 @@
   CHECK(seen.ends_with("\r\n\r\nbody"));
 }
 
+// Failure: a process that stood still for some seconds while it connected to an upstream sent the
+// request under a lease that had run out meanwhile.
+TEST_CASE("a lease that runs out between the choice of an upstream and the hand-over ends there") {
+  for (const RouteKind kind :
+       {RouteKind::kAtMostOnce, RouteKind::kIdempotent, RouteKind::kStream}) {
+    CAPTURE(static_cast<int>(kind));
+    RawUpstream upstream([](const RawCall& call) { call.Write(kWhole); });
+    GatewayPath path(RouteOf(kind, 3));
+    path.SetUpstreams({upstream.Address()});
+    // It is valid at the admission and right before the attempt.
+    path.valid_views = 2;
+    const CallerSaw saw = path.Send(Post());
+    CHECK(saw.Status() == 503);
+    CHECK(saw.Has("no_lease"));
+    CHECK(upstream.Calls() == 0);
+  }
+}
+
 TEST_CASE("an at-most-once request is sent to no second upstream after it may have run") {
   // The bytes with which the first upstream answers, and the status that the caller must get.
   const std::vector<std::pair<std::string, int>> cases = {
