--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -83,6 +83,7 @@
 CallRunner::NextStep CallRunner::OnAnswer(UpstreamAttempt& attempt) {
   const int status = attempt.Head().status;
   this->may_have_run = true;
+  this->confidence = attempt.Metadata().confidence;
   const bool failed = status >= kFirstServerError;
   if (failed) {
     this->RecordVerdict(attempt, false);
@@ -111,6 +112,7 @@
   if (IsSuccess(status) && !this->caller.Begun() && this->context.prompts.MayRetry(this->parts) &&
       this->ShouldEscalate(attempt) && this->PrepareEscalation()) {
     attempt.SetVerdict(AttemptVerdict::kSuccess);
+    this->discarded_confidence = attempt.Metadata().confidence;
     this->context.prompts.OnDiscarded(attempt.Upstream(), this->parts, this->clock.Now());
     ++this->context.metrics.escalated;
     return NextStep::kTryAgain;
--- a/src/gateway/call_end.cc
+++ b/src/gateway/call_end.cc
@@ -104,6 +104,8 @@
              {"choice", ToString(this->last_pick.reason)},
              {"work_ahead", static_cast<std::int64_t>(this->last_pick.load)},
              {"model", this->LastModel()},
+             {"confidence", this->confidence.value_or(-1)},
+             {"discarded_confidence", this->discarded_confidence.value_or(-1)},
              {"last_attempt", this->last_attempt_end},
              {"attempts", this->attempts},
              {"stop_phase", ToString(this->context.phase())},
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -193,6 +193,9 @@
   EventSplitter events;
   UpstreamPick last_pick;
   std::string last_attempt_end;
+  /// Of the last answer that began, and of the last one that was discarded for a stronger model's.
+  std::optional<double> confidence;
+  std::optional<double> discarded_confidence;
   std::optional<Duration> first_byte;
   TimePoint stream_begun_at;
   /// Of the answer with which the stream began.
