Let a request that has met a lost upstream be no probe at the next

Cause: upstreams that crash together are ejected together, and their ejections end together.

Change: only a request that has tried no upstream yet may find out the state of an ejected one, unless none is healthy.

--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -278,7 +278,10 @@
                                        WallTimeMs wall_now);
   bool MayReturn(const Member& member, TimePoint now) const;
   static std::vector<Member*> ReachableOrAll(const std::vector<Member*>& members, TimePoint now);
-  std::vector<Member*> HealthyOrAll(const std::vector<Member*>& members, TimePoint now) const;
+  /// The members that are healthy or, with `may_probe`, whose state a request may find out; all
+  /// members where there are none.
+  std::vector<Member*> HealthyOrAll(const std::vector<Member*>& members, bool may_probe,
+                                    TimePoint now) const;
 
   PoolSettings settings;
   mutable std::mutex mutex;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -222,15 +222,20 @@
 }
 
 std::vector<UpstreamPool::Member*> UpstreamPool::HealthyOrAll(const std::vector<Member*>& found,
-                                                              TimePoint now) const {
+                                                              bool may_probe, TimePoint now) const {
   std::vector<Member*> healthy;
+  std::vector<Member*> to_probe;
   for (Member* member : found) {
     const routing::HealthView view = member->health.Read(this->settings.health, now);
-    if (view.state == routing::HealthState::kHealthy ||
-        (view.state == routing::HealthState::kHalfOpen && view.probe_allowed)) {
+    if (view.state == routing::HealthState::kHealthy) {
       healthy.push_back(member);
+    } else if (view.probe_allowed) {
+      to_probe.push_back(member);
     }
   }
+  if (may_probe || healthy.empty()) {
+    healthy.insert(healthy.end(), to_probe.begin(), to_probe.end());
+  }
   return healthy.empty() ? found : healthy;
 }
 
@@ -263,7 +268,10 @@
     return {.status = PickStatus::kPaused, .retry_after = earliest - now};
   }
   std::erase_if(found, [&](const Member* member) { return now < member->paused_until; });
-  const std::vector<Member*> healthy = this->HealthyOrAll(ReachableOrAll(found, now), now);
+  // The ejections of upstreams that were lost together end together. A request that has met one of
+  // them is no probe at the next.
+  const std::vector<Member*> healthy =
+      this->HealthyOrAll(ReachableOrAll(found, now), query.excluded.empty(), now);
   found = healthy;
   std::erase_if(found, [&](const Member* member) {
     return !this->MayUseCold(*member, now, wall_now) || !this->MayUseLimited(*member, wall_now) ||
--- a/test/gateway/lost_upstreams_test.cc
+++ b/test/gateway/lost_upstreams_test.cc
@@ -82,6 +82,19 @@
   CHECK(refused == kLost);
 }
 
+TEST_CASE(
+    "half of a service lost at once: when the ejections end, a request is one probe at most") {
+  // Pattern: the ejections of upstreams that crashed together end together. Without work, all of
+  // them look less loaded than those that run.
+  LostFleet fleet(160, 80);
+  for (int request = 0; request < 200; ++request) {
+    fleet.Send(0.001 * request);
+  }
+  for (int request = 0; request < 200; ++request) {
+    CHECK(fleet.Send(1.3 + 0.001 * request) <= 1);
+  }
+}
+
 TEST_CASE("a lost upstream gets one request for each ejection, and all its share once it answers") {
   LostFleet fleet(4, 2);
   int refused = 0;
