--- a/review/stand/harness.h
+++ b/review/stand/harness.h
@@ -1,5 +1,6 @@
-// What the scripts of the review share: the system's programs as child processes, and small stand-ins
-// for the platform, its operator, the workers and the clients. Loopback addresses and the real clock.
+// What the scripts of the review share: the system's programs as child processes, and small
+// stand-ins for the platform, its operator, the workers and the clients. Loopback addresses and the
+// real clock.
 #ifndef REVIEW_STAND_HARNESS_H_
 #define REVIEW_STAND_HARNESS_H_
 
@@ -45,9 +46,7 @@
 inline const SteadyClock::time_point kStart = SteadyClock::now();
 
 /// Seconds since the start of the case.
-inline double Now() {
-  return std::chrono::duration<double>(SteadyClock::now() - kStart).count();
-}
+inline double Now() { return std::chrono::duration<double>(SteadyClock::now() - kStart).count(); }
 
 inline void SleepUntil(double at) {
   std::this_thread::sleep_until(kStart + std::chrono::duration_cast<SteadyClock::duration>(
@@ -209,7 +208,8 @@
     return true;
   }
 
-  /// Reads the body behind a head. `is_answer`: without a length, the body ends with the connection.
+  /// Reads the body behind a head. `is_answer`: without a length, the body ends with the
+  /// connection.
   bool ReadBody(Message& message, double until, bool is_answer) {
     if (message.Header("transfer-encoding") == "chunked") {
       message.complete = this->ReadChunks(message.body, until);
@@ -436,9 +436,9 @@
   pid_t id = -1;
 };
 
-/// The machines of a small deployment: three zones. Machines 1 to 3 stand in one zone each and have a
-/// disk; machine 4 is a second one of the first zone and has none. Each runs both roles of the deploy
-/// file (`control` has `count = 2` in a zone).
+/// The machines of a small deployment: three zones. Machines 1 to 3 stand in one zone each and have
+/// a disk; machine 4 is a second one of the first zone and has none. Each runs both roles of the
+/// deploy file (`control` has `count = 2` in a zone).
 class Fleet {
  public:
   static constexpr int kMachines = 4;
@@ -488,11 +488,11 @@
          << "\nIp=" << Ip(machine) << "\nZone=" << Zone(machine)
          << "\nRegion=land\nZones.zone-a=land\nZones.zone-b=land\nZones.zone-c=land\nListen.Front="
          << this->Front(machine).Text() << "\nListen.Ready=" << this->Ready(machine).Text()
-         << "\nListen.Control=" << this->Control(machine).Text() << "\nInternalPorts="
-         << this->internal << "," << this->internal << "\nSeeds=" << this->Control(1).Text() << ","
-         << this->Control(2).Text() << "," << this->Control(3).Text()
-         << "\nBootstrap=" << (is_first ? "true" : "false") << "\nInTolerance="
-         << (has_disk ? "true" : "false") << "\n"
+         << "\nListen.Control=" << this->Control(machine).Text()
+         << "\nInternalPorts=" << this->internal << "," << this->internal
+         << "\nSeeds=" << this->Control(1).Text() << "," << this->Control(2).Text() << ","
+         << this->Control(3).Text() << "\nBootstrap=" << (is_first ? "true" : "false")
+         << "\nInTolerance=" << (has_disk ? "true" : "false") << "\n"
          << "Limits.CpuShare=0.45\nLimits.Cores=1\nLimits.MemoryMb=110\nLimits.MaxFds=4100\n"
          << "Limits.LinkMbps=1000.0\n"
          << (has_disk ? "Limits.DiskMb=64\nDataDir=" + this->folder + "/data-" + name + "\n" : "")
@@ -511,9 +511,9 @@
     file.close();
     auto& place = (role == "entry" ? this->entries : this->controls).at(machine);
     place.reset();
-    place = std::make_unique<Process>(
-        std::vector<std::string>{"target/masticrill", "platform", role}, path, temporary,
-        this->folder + "/" + name + ".log");
+    place =
+        std::make_unique<Process>(std::vector<std::string>{"target/masticrill", "platform", role},
+                                  path, temporary, this->folder + "/" + name + ".log");
   }
 
   void StartAll() {
@@ -651,9 +651,10 @@
         }
       }
       page = "{\"Instances\":[" + page + "],\"Next\":null}";
-      if (!SendAll(descriptor, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                               "Content-Length: " + std::to_string(page.size()) + "\r\n\r\n" +
-                                   page)) {
+      if (!SendAll(descriptor,
+                   "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                   "Content-Length: " +
+                       std::to_string(page.size()) + "\r\n\r\n" + page)) {
         return;
       }
     }
