--- a/review/stand/case1.cc
+++ b/review/stand/case1.cc
@@ -8,7 +8,7 @@
 namespace review {
 namespace {
 
-constexpr double kEvacuateS = 5;    // Bounds.EvacuateMs
+constexpr double kEvacuateS = 5;  // Bounds.EvacuateMs
 constexpr double kFreezeS = 6;
 /// How long the zone is watched after the bound.
 constexpr double kWatchS = 6;
@@ -44,8 +44,8 @@
   }
 }
 
-/// The zone is emptied, taken back while a machine stands still, and emptied again. Returns the time
-/// after which nothing may reach the zone, once it has passed by some seconds.
+/// The zone is emptied, taken back while a machine stands still, and emptied again. Returns the
+/// time after which nothing may reach the zone, once it has passed by some seconds.
 std::optional<double> PlayRound(Fleet& fleet, const Operator& operators, int frozen) {
   constexpr int kOther = 1;
   SleepFor(1);
@@ -99,7 +99,9 @@
   std::vector<Listed> workers;
   std::vector<std::unique_ptr<Server>> servers;
   for (int zone = 1; zone <= 3; ++zone) {
-    Listed self{"i-" + Fleet::Zone(zone), "s", {"127.0.0." + std::to_string(30 + zone), 0},
+    Listed self{"i-" + Fleet::Zone(zone),
+                "s",
+                {"127.0.0." + std::to_string(30 + zone), 0},
                 Fleet::Zone(zone)};
     auto shared = std::make_shared<Listed>(self);
     servers.push_back(std::make_unique<Server>(
@@ -129,10 +131,9 @@
     clients.emplace_back([&, machine] {
       while (!stopped) {
         const std::string id = "m" + std::to_string(machine) + "-" + std::to_string(++sent);
-        const Answer answer = Call(fleet.Front(machine), "GET", "/look/1",
-                                   {{"Host", "a.example"}, {"X-Request-Id", id},
-                                    {"X-Deadline-Ms", "1000"}},
-                                   "", 1.2);
+        const Answer answer =
+            Call(fleet.Front(machine), "GET", "/look/1",
+                 {{"Host", "a.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "1000"}}, "", 1.2);
         served += answer.Status() == 200 ? 1 : 0;
         SleepFor(0.05);
       }
