--- a/review/stand/case1.cc
+++ b/review/stand/case1.cc
@@ -135,6 +135,8 @@
             Call(fleet.Front(machine), "GET", "/look/1",
                  {{"Host", "a.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "1000"}}, "", 1.2);
         served += answer.Status() == 200 ? 1 : 0;
+        Record::Line("client sent %s to machine %d, answer %d", id.c_str(), machine,
+                     answer.Status());
         SleepFor(0.05);
       }
     });
--- a/review/stand/case4.cc
+++ b/review/stand/case4.cc
@@ -152,6 +152,7 @@
         SendAll(descriptor, "POST /book/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id +
                                 "\r\nX-Deadline-Ms: 1000\r\nContent-Length: 4\r\n\r\nbody");
         if (!reader.ReadHead(answer, Now() + 2) || !reader.ReadBody(answer, Now() + 2, true)) {
+          Record::Line("client sent %s, no answer", id.c_str());
           const std::lock_guard<std::mutex> lock(mutex);
           // The first request of a connection is not one from a kept connection.
           if (number > 1) {
@@ -160,6 +161,7 @@
           break;
         }
         booked += answer.Status() == 200 ? 1 : 0;
+        Record::Line("client sent %s, answer %d", id.c_str(), answer.Status());
       }
       close(descriptor);
     });
@@ -175,6 +177,7 @@
                                   {"X-Token-Count", "1460,80"}},
                                  "prompt", end + 5 - Now());
       streamed += answer.Status() == 200 ? 1 : 0;
+      Record::Line("client sent s%d, answer %d", stream, answer.Status());
     });
   }
   for (std::thread& thread : threads) {
--- a/review/stand/harness.h
+++ b/review/stand/harness.h
@@ -11,6 +11,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -383,6 +384,8 @@
     const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     this->id = fork();
     if (this->id == 0) {
+      // Ends with the case, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       dup2(file, 1);
       dup2(file, 2);
       execve(arguments[0], arguments.data(), environment.data());
