Control: an order is committed only while its sender waits

A control host that was frozen read an order to take a failure domain back when it woke, and committed it after the operator had moved on, had the order acknowledged elsewhere and evacuated the domain again. Requests ran in the evacuated domain.

Cause: an order is planned on the state that the host meets, and planned anew when another change was first. Nothing tied it to the time for which its sender waits. An order that found nothing to change left no trace, so that one planned before it could still be committed.

Change: each attempt reads the number, then asks whether the sender's connection is open, then commits on that number. An order that needs no change commits an empty patch. The end of a connection is seen behind bytes that were sent ahead. The built-in interface drops changes of senders that have left. Why it works: what the sender orders after it has left takes a number after the one that was read, so the commit fails and the next attempt finds it gone.

--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -25,7 +25,7 @@
   friend bool operator==(const PeerAddress&, const PeerAddress&) = default;
 };
 
-/// Handles one HTTP request of an operator.
+/// Handles one HTTP request of an operator. The access belongs to that request.
 using OperatorFrontend = std::function<net::HttpAnswer(const net::HttpRequest&, OperatorAccess&)>;
 
 /// Reads the list of upstreams that is distributed to all nodes, as bytes. Fails when the source of
--- a/include/masticrill/control/operator_access.h
+++ b/include/masticrill/control/operator_access.h
@@ -26,6 +26,9 @@
   Error error;
 };
 
+/// Whether the sender of a request still waits for the answer.
+using SenderWaits = std::function<bool()>;
+
 /// Access of an operator frontend to the committed configuration. Thread-safe.
 class OperatorAccess {
  public:
@@ -37,7 +40,8 @@
   virtual config::ConfigurationPtr ReadCurrent() = 0;
 
   /// Plans a change on the newest configuration and commits it. Starts over, for a limited number
-  /// of attempts, when another change was committed in the meantime.
+  /// of attempts, when another change was committed in the meantime. On behalf of a request,
+  /// nothing is changed after its sender has left and given another order.
   virtual ChangeOutcome Change(const Planner& plan, const std::string& author,
                                const std::string& reason) = 0;
 
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -92,7 +92,7 @@
   Result<void> Start();
   Result<void> StartReplica();
   Result<void> StartServers();
-  net::HttpAnswer AnswerOperator(const net::HttpRequest& request);
+  net::HttpAnswer AnswerOperator(const net::HttpRequest& request, const SenderWaits& sender_waits);
   void TransferLeadership();
   void StopParts();
 };
@@ -169,15 +169,20 @@
                       {.address = this->options.http_address,
                        .max_connections = this->options.max_http_connections},
                       [this](const net::HttpRequest& request, net::HttpResponder& responder) {
-                        responder.SendWhole(this->AnswerOperator(request));
+                        responder.SendWhole(this->AnswerOperator(
+                            request, [&responder] { return !responder.CallerLeft(); }));
                       }));
   this->http_server = std::move(http_started);
   return {};
 }
 
-net::HttpAnswer ControlServer::State::AnswerOperator(const net::HttpRequest& request) {
-  return this->options.operator_frontend ? this->options.operator_frontend(request, *this->access)
-                                         : this->api->Handle(request);
+net::HttpAnswer ControlServer::State::AnswerOperator(const net::HttpRequest& request,
+                                                     const SenderWaits& sender_waits) {
+  if (!this->options.operator_frontend) {
+    return this->api->Handle(request, sender_waits);
+  }
+  RequestAccess request_access(*this->access, sender_waits);
+  return this->options.operator_frontend(request, request_access);
 }
 
 /// Transfers leadership and waits until another replica leads, if there is another voter.
--- a/src/control/operator_access.cc
+++ b/src/control/operator_access.cc
@@ -4,6 +4,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,7 @@
 constexpr int kPatchIdBytes = 12;
 /// Attempts that may fail because of concurrent changes before the operator is asked to retry.
 constexpr int kMaxCommitAttempts = 16;
+constexpr std::string_view kEmptyPatch = "{}";
 
 /// The result of a committed patch.
 Result<state::PatchResult> ReadPatchResult(const std::string& bytes) {
@@ -42,6 +44,13 @@
            "change again."}};
 }
 
+ChangeOutcome SenderLeft() {
+  return {false,
+          {ErrorKind::kUnavailable,
+           "The sender closed its connection before the change was committed; nothing was "
+           "changed."}};
+}
+
 }  // namespace
 
 bool AwaitCurrentState(ReplicaRunner& replica, const ControlTimings& timings) {
@@ -86,14 +95,39 @@
     if (!change.merge_patch) {
       return {true, {}};
     }
-    CommitEnd ended = this->Commit(
-        state::PatchConfiguration{.patch_id = state::PatchId(SecureRandomHex(kPatchIdBytes)),
-                                  .expected_number = current->number,
-                                  .merge_patch = *change.merge_patch,
-                                  .author = OperatorId(author),
-                                  .reason = reason,
-                                  .at = this->clock.WallNow()},
-        author, reason);
+    CommitEnd ended = this->CommitPatch(current->number, *change.merge_patch, author, reason);
+    if (ended) {
+      return *std::move(ended);
+    }
+  }
+  return OvertakenEachTime();
+}
+
+ChangeOutcome ReplicatedOperatorAccess::ChangeForRequest(const Planner& plan,
+                                                         const std::string& author,
+                                                         const std::string& reason,
+                                                         const SenderWaits& sender_waits) {
+  for (int attempt = 0; attempt < kMaxCommitAttempts; ++attempt) {
+    const config::ConfigurationPtr current = this->ReadCurrent();
+    if (current == nullptr) {
+      return {false, ToError(CommitStatus::kNoQuorum)};
+    }
+    // Asked after the number is read: an order that the sender gives once it has left takes a later
+    // number, and the commit on this one fails.
+    if (!sender_waits()) {
+      kLog.Info("An operator's request was dropped, since its sender has left.",
+                {{"author", author},
+                 {"reason", reason},
+                 {"number", current->number},
+                 {"attempt", attempt}});
+      return SenderLeft();
+    }
+    const PlannedChange change = plan(*current);
+    if (change.refused) {
+      return {false, *change.refused};
+    }
+    CommitEnd ended = this->CommitPatch(
+        current->number, change.merge_patch.value_or(std::string(kEmptyPatch)), author, reason);
     if (ended) {
       return *std::move(ended);
     }
@@ -101,6 +135,19 @@
   return OvertakenEachTime();
 }
 
+ReplicatedOperatorAccess::CommitEnd ReplicatedOperatorAccess::CommitPatch(
+    config::Number expected_number, const std::string& merge_patch, const std::string& author,
+    const std::string& reason) {
+  return this->Commit(
+      state::PatchConfiguration{.patch_id = state::PatchId(SecureRandomHex(kPatchIdBytes)),
+                                .expected_number = expected_number,
+                                .merge_patch = merge_patch,
+                                .author = OperatorId(author),
+                                .reason = reason,
+                                .at = this->clock.WallNow()},
+      author, reason);
+}
+
 ReplicatedOperatorAccess::CommitEnd ReplicatedOperatorAccess::Commit(const state::Command& command,
                                                                      const std::string& author,
                                                                      const std::string& reason) {
@@ -160,7 +207,6 @@
     if (current->declaration.revision >= declaration.revision) {
       return {true, {}};
     }
-    const state::PatchId patch_id(SecureRandomHex(kPatchIdBytes));
     CommitEnd ended;
     const DeclarationPath path = this->ChooseDeclarationPath();
     if (path == DeclarationPath::kUnknown) {
@@ -168,7 +214,7 @@
     }
     if (path == DeclarationPath::kDelta) {
       ended = this->Commit(
-          state::ChangeDeclaration{.patch_id = patch_id,
+          state::ChangeDeclaration{.patch_id = state::PatchId(SecureRandomHex(kPatchIdBytes)),
                                    .revision = declaration.revision,
                                    .change = config::MakeTextDelta(
                                        current->declaration.text.Value(), declaration.text.Value(),
@@ -178,14 +224,8 @@
                                    .at = this->clock.WallNow()},
           author, reason);
     } else {
-      ended = this->Commit(
-          state::PatchConfiguration{.patch_id = patch_id,
-                                    .expected_number = current->number,
-                                    .merge_patch = config::MakeDeclarationPatch(declaration),
-                                    .author = OperatorId(author),
-                                    .reason = reason,
-                                    .at = this->clock.WallNow()},
-          author, reason);
+      ended = this->CommitPatch(current->number, config::MakeDeclarationPatch(declaration), author,
+                                reason);
     }
     if (ended) {
       return *std::move(ended);
--- a/src/control/operator_access.h
+++ b/src/control/operator_access.h
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "control/fleet_view.h"
 #include "control/proposer.h"
@@ -20,7 +21,8 @@
 /// `timings.read_timeout`. Returns false when no leader confirms that in time.
 bool AwaitCurrentState(ReplicaRunner& replica, const ControlTimings& timings);
 
-/// Reads and changes the configuration through the replicated log.
+/// Reads and changes the configuration through the replicated log. Its own changes are those of
+/// this host; those of an operator's request go through a RequestAccess. Thread-safe.
 class ReplicatedOperatorAccess : public OperatorAccess {
  public:
   /// The arguments must outlive this object.
@@ -38,6 +40,11 @@
   ChangeOutcome Change(const Planner& plan, const std::string& author,
                        const std::string& reason) override;
   ChangeOutcome Declare(const config::Declaration& declaration, const std::string& author) override;
+  /// Change on behalf of a request. Each attempt commits on a number that was read while the sender
+  /// still waited. What needs no change takes a number as well, so that no change that was planned
+  /// before this acknowledgement can be committed after it.
+  ChangeOutcome ChangeForRequest(const Planner& plan, const std::string& author,
+                                 const std::string& reason, const SenderWaits& sender_waits);
 
  private:
   /// How a declaration is committed.
@@ -52,6 +59,8 @@
 
   CommitEnd Commit(const state::Command& command, const std::string& author,
                    const std::string& reason);
+  CommitEnd CommitPatch(config::Number expected_number, const std::string& merge_patch,
+                        const std::string& author, const std::string& reason);
   ChangeOutcome CommitDeclaration(const config::Declaration& declaration, const std::string& author,
                                   const std::string& reason);
   DeclarationPath ChooseDeclarationPath();
@@ -69,6 +78,30 @@
   SystemClock clock;
 };
 
+/// The access of one operator's request, whose sender moves on to another host when it has waited
+/// too long. Used by the thread that handles the request.
+class RequestAccess : public OperatorAccess {
+ public:
+  /// The access must outlive this object.
+  RequestAccess(ReplicatedOperatorAccess& access, SenderWaits sender_waits)
+      : access(access), sender_waits(std::move(sender_waits)) {}
+
+  config::ConfigurationPtr ReadCurrent() override { return this->access.ReadCurrent(); }
+  ChangeOutcome Change(const Planner& plan, const std::string& author,
+                       const std::string& reason) override {
+    return this->access.ChangeForRequest(plan, author, reason, this->sender_waits);
+  }
+  /// A late declaration is harmless: only a higher revision takes effect.
+  ChangeOutcome Declare(const config::Declaration& declaration,
+                        const std::string& author) override {
+    return this->access.Declare(declaration, author);
+  }
+
+ private:
+  ReplicatedOperatorAccess& access;
+  SenderWaits sender_waits;
+};
+
 }  // namespace masticrill::control
 
 #endif  // MASTICRILL_CONTROL_REPLICATED_OPERATOR_ACCESS_H_
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -85,7 +85,8 @@
 
 }  // namespace
 
-net::HttpAnswer OperatorApi::Handle(const net::HttpRequest& request) {
+net::HttpAnswer OperatorApi::Handle(const net::HttpRequest& request,
+                                    const SenderWaits& sender_waits) {
   if (request.path == "/healthz") {
     const bool healthy = !this->parts.replica.Status().stopped;
     return healthy ? TextAnswer(200, "ok\n")
@@ -121,6 +122,11 @@
   if (request.path == kStatusPath && request.method == "GET") {
     return this->GetStatus(current);
   }
+  // A change of members names no state that it follows, so a late one may undo a later one.
+  if (request.method != "GET" && !sender_waits()) {
+    return this->Refuse(ApiRefusal::kUnavailable,
+                        "The sender closed its connection; nothing was changed.");
+  }
   return this->Dispatch(request, caller->id);
 }
 
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -17,6 +17,7 @@
 #include "control/upkeep.h"
 #include "masticrill/common/metrics.h"
 #include "masticrill/control/control_options.h"
+#include "masticrill/control/operator_access.h"
 #include "masticrill/net/http_server.h"
 #include "masticrill/state/replicated_state.h"
 
@@ -79,7 +80,8 @@
  public:
   explicit OperatorApi(const ApiParts& parts) : parts(parts) {}
 
-  net::HttpAnswer Handle(const net::HttpRequest& request);
+  /// Changes nothing for a sender that has left.
+  net::HttpAnswer Handle(const net::HttpRequest& request, const SenderWaits& sender_waits);
 
  private:
   using Answer = net::HttpAnswer;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -8,6 +8,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/URI.h>
+#include <poll.h>
 
 #include <array>
 #include <atomic>
@@ -149,7 +150,12 @@
       return false;
     }
     char byte = 0;
-    return this->state.socket.receiveBytes(&byte, 1, MSG_PEEK) <= 0;
+    if (this->state.socket.receiveBytes(&byte, 1, MSG_PEEK) <= 0) {
+      return true;
+    }
+    // The end may lie behind bytes that nobody has read yet.
+    pollfd descriptor{this->state.socket.impl()->sockfd(), POLLRDHUP, 0};
+    return ::poll(&descriptor, 1, 0) > 0;
   } catch (const Poco::Exception&) {
     return true;
   }
--- a/test/net/http_server_test.cc
+++ b/test/net/http_server_test.cc
@@ -90,6 +90,26 @@
   std::thread thread;
 };
 
+// Guards against a caller that is taken to wait, although it has left, since it sent more before.
+TEST_CASE("a caller that has left is seen also behind bytes that it sent ahead") {
+  std::atomic<bool> seen = false;
+  std::atomic<bool> was_there = false;
+  std::atomic<bool> closed = false;
+  auto server = StartServer(2, [&](const HttpRequest&, HttpResponder& responder) {
+    was_there = !responder.CallerLeft();
+    fakes::WaitUntil([&] { return closed.load(); });
+    seen = fakes::WaitUntil([&] { return responder.CallerLeft(); });
+  });
+  const auto caller = Connect(server->Address());
+  Send(*caller);
+  Send(*caller);
+  REQUIRE(fakes::WaitUntil([&] { return was_there.load(); }));
+  caller->Close();
+  closed = true;
+  server->Stop();
+  CHECK(seen);
+}
+
 // Guards against a request that ends without an answer because its handler failed.
 TEST_CASE("a request whose handler throws is answered 500") {
   auto server = StartServer(2, [](const HttpRequest&, HttpResponder&) {
