Cascades: a request that must not run twice runs with one model

On routes that leave the model to the gateway, requests that must not run twice ran with the small model, and again with the large one, 20 of 20.

Cause: every further run is granted by routing::DecideRetry, which refuses it to such requests, but for the second step of a cascade, which had conditions of its own. Before sidecars, a completion with an Idempotency-Key on a cascade was rated and went on to the next step in the same way.

Change: a gateway asks DecideRetry before it discards an answer. The model of the only run is chosen by the confidence that the models have stated for requests of that route and size; before sidecars one step is chosen by its pass rate and is not rated.

--- a/include/masticrill/routing/cascade_policy.h
+++ b/include/masticrill/routing/cascade_policy.h
@@ -62,6 +62,7 @@
   kStepUnavailable,      // No upstream can run the step now: the next one runs.
   kRatingDownAccepted,   // No trusted rating; accepted by the learned pass rate.
   kRatingDownEscalated,  // No trusted rating; escalated by the learned pass rate.
+  kSingleRun,            // The request must not run twice, so no other step can follow.
 };
 
 inline constexpr std::array kAllCascadeReasons = {
@@ -79,6 +80,7 @@
     CascadeReason::kStepUnavailable,
     CascadeReason::kRatingDownAccepted,
     CascadeReason::kRatingDownEscalated,
+    CascadeReason::kSingleRun,
 };
 
 std::string_view ToString(CascadeReason reason);
@@ -142,6 +144,11 @@
   CascadeDecision Begin(const CascadeKey& key, const std::vector<CascadeStep>& steps,
                         Duration time_left, Random& random);
 
+  /// The only step of a request that must not run twice: the cheapest one whose answers are known
+  /// to pass mostly, else the strongest one. Its answer goes to the caller unrated.
+  CascadeDecision BeginSingleRun(const CascadeKey& key, const std::vector<CascadeStep>& steps,
+                                 Duration time_left) const;
+
   /// Called with the rating of the answer of `step`: ends the cascade or names the step to run
   /// next.
   CascadeDecision Next(const CascadeKey& key, const std::vector<CascadeStep>& steps,
@@ -176,6 +183,9 @@
   Plan PlanSteps(const CascadeKey& key, const std::vector<CascadeStep>& steps,
                  std::size_t first) const;
   CascadeDecision DecisionToRun(const PlannedStep& planned, CascadeReason reason);
+  /// The strongest step of a plan, or the fastest one where the time does not allow it.
+  static const PlannedStep& StrongestInTime(const Plan& plan, const std::vector<CascadeStep>& steps,
+                                            Duration time_left);
   bool ShortOfCapacity(const CascadeStep& step) const;
   bool ShouldRequestRating();
   /// Updates the health of the rating service; returns false if the rating must not be used.
--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -108,6 +108,7 @@
     this->context.lateness.Add(this->service, attempt.AnswerLatency(), this->route->latency_target,
                                this->clock.Now());
     this->RecordFirstToken(attempt);
+    this->RecordConfidence();
   }
   if (IsSuccess(status) && !this->caller.Begun() && this->context.prompts.MayRetry(this->parts) &&
       this->ShouldEscalate(attempt) && this->PrepareEscalation()) {
@@ -123,6 +124,14 @@
   return this->RelayWhole(attempt);
 }
 
+/// Records how confident the model is of the answer, for the choice of the model of later requests.
+void CallRunner::RecordConfidence() {
+  if (this->confidence && this->metadata.any_model && !this->route->models.empty()) {
+    this->context.model_confidence.Add(
+        this->GroupBySize(), this->route->models.at(this->model_index), *this->confidence);
+  }
+}
+
 double CallRunner::ConfidenceTarget() const {
   const auto& targets = this->context.settings.confidence_targets;
   return ConfidenceTargetUnderLoad(
@@ -135,11 +144,11 @@
 bool CallRunner::ShouldEscalate(const UpstreamAttempt& attempt) {
   const std::optional<double> confidence = attempt.Metadata().confidence;
   if (!this->metadata.any_model || this->model_index + 1 >= this->route->models.size() ||
-      !confidence || *confidence >= this->ConfidenceTarget() ||
-      this->attempts >= this->route->max_attempts) {
+      !confidence || *confidence >= this->ConfidenceTarget()) {
     return false;
   }
-  return this->context.budgets.For(this->service).TryTake();
+  // A further run like any other: not for a request that must not run twice.
+  return this->TakeRetry(routing::HandOverState::kMayHaveRun, this->attempts).retry;
 }
 
 CallRunner::NextStep CallRunner::RelayWhole(UpstreamAttempt& attempt) {
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -80,6 +80,7 @@
     this->Refuse(refusal->kind, refusal->message, refusal->retry_after);
     return;
   }
+  this->ChooseModel();
   this->context.budgets.For(this->service).OnRequest();
   while (this->MakeAttempt() == NextStep::kTryAgain) {
   }
@@ -239,6 +240,15 @@
   }
 }
 
+void CallRunner::ChooseModel() {
+  if (!this->metadata.any_model || this->route->models.empty() || this->route->Repeatable()) {
+    return;
+  }
+  this->model_index = this->context.model_confidence.Choose(
+      this->GroupBySize(), this->route->models, this->ConfidenceTarget(),
+      Hash64(this->metadata.request.Value()));
+}
+
 /// A key that is equal for all requests of a session: the session's id or, without one, the shared
 /// part of the prompt.
 std::string CallRunner::SessionKey() const {
@@ -302,6 +312,11 @@
       weight == 0 ? 1 : static_cast<double>(this->metadata.prompt_tokens) * weight);
 }
 
+routing::RequestGroup CallRunner::GroupBySize() const {
+  return routing::GroupOf(this->route->id.Value(),
+                          static_cast<double>(this->metadata.prompt_tokens));
+}
+
 UpstreamQuery CallRunner::MakeQuery() const {
   return {this->service, this->tried, this->route->sticky ? SharedPart(this->metadata.prompt) : "",
           this->EstimateWork(), this->SessionKey()};
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -14,6 +14,7 @@
 #include "gateway/active_calls.h"
 #include "gateway/caller_stream.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/model_confidence.h"
 #include "gateway/upstream_attempt.h"
 #include "masticrill/common/refusal.h"
 #include "masticrill/config/lease.h"
@@ -54,6 +55,7 @@
   GatewayMetrics& metrics;
   StreamPace& pace;
   AnswerLateness& lateness;
+  ModelConfidence& model_confidence;
   /// The configuration in force and its lease; null while there is none.
   std::function<GatewayViewPtr()> view;
   /// Waits for the first configuration, which comes with the first lease, until the given time at
@@ -95,11 +97,15 @@
   /// When a wait ends that the deadline would end, with regard to a planned stop.
   TimePoint WaitUntil() const;
   void ChooseService();
+  /// Chooses the model that runs first: the cheapest one where a stronger one can follow.
+  void ChooseModel();
   double ModelWeight() const;
   double EstimateKilobytes() const;
   WorkEstimate EstimateWork() const;
   /// The requests with which this one's time to the first token is compared.
   routing::RequestGroup Group() const;
+  /// The requests of the route with prompts of a similar size, whatever the model.
+  routing::RequestGroup GroupBySize() const;
   UpstreamQuery MakeQuery() const;
   std::optional<UpstreamPick> FindUpstream();
   /// Before the silent or slow upstream of the present attempt is abandoned: finds another one and
@@ -143,6 +149,7 @@
   NextStep RetryOrRefuse(const UpstreamAttempt& attempt, AttemptEnd end, RefusalKind kind);
   void RecordVerdict(UpstreamAttempt& attempt, bool good);
   void RecordFirstToken(const UpstreamAttempt& attempt);
+  void RecordConfidence();
   /// Records what a lost connection says about the request and the parts of its prompt.
   void RecordLostStart(const UpstreamAttempt& attempt);
   /// Records, once, that the upstream survives the request.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -85,6 +85,7 @@
                      this->metrics,
                      this->pace,
                      this->lateness,
+                     this->model_confidence,
                      [this] { return this->View(); },
                      [this](TimePoint until) { this->AwaitLease(until); },
                      [this] { return this->AnswerBy(); },
@@ -130,6 +131,7 @@
   ActiveCalls active;
   StreamPace pace;
   AnswerLateness lateness;
+  ModelConfidence model_confidence;
   CallContext call_context;
   TimePoint started_at;
   mutable std::mutex view_mutex;
--- a/src/routing/cascade_policy.cc
+++ b/src/routing/cascade_policy.cc
@@ -189,12 +189,42 @@
     const bool only = plan.steps.size() == 1;
     return this->DecisionToRun(last, only ? CascadeReason::kLastStep : reason);
   }
+  return this->DecisionToRun(StrongestInTime(plan, steps, time_left),
+                             CascadeReason::kSkippedByDeadline);
+}
+
+CascadeDecision CascadePolicy::BeginSingleRun(const CascadeKey& key,
+                                              const std::vector<CascadeStep>& steps,
+                                              Duration time_left) const {
+  const Plan plan = this->PlanSteps(key, steps, 0);
+  if (plan.steps.empty()) {
+    return {.step = 0, .reason = CascadeReason::kLastStep};
+  }
+  const bool strongest_short = this->ShortOfCapacity(steps[plan.steps.back().step]);
+  for (const PlannedStep& planned : plan.steps) {
+    const Statistics::Step learned = this->ShardOf(key).Read(key, planned.step);
+    const bool likely_to_pass = learned.ratings >= this->settings.ratings_before_skip &&
+                                learned.pass_rate >= this->settings.accept_unrated_pass_rate;
+    if (!planned.last && steps[planned.step].expected <= time_left &&
+        (likely_to_pass || strongest_short)) {
+      return {.step = planned.step, .degraded = true, .reason = CascadeReason::kSingleRun};
+    }
+  }
+  const PlannedStep& chosen = StrongestInTime(plan, steps, time_left);
+  return {.step = chosen.step, .degraded = !chosen.last, .reason = CascadeReason::kSingleRun};
+}
+
+const CascadePolicy::PlannedStep& CascadePolicy::StrongestInTime(
+    const Plan& plan, const std::vector<CascadeStep>& steps, Duration time_left) {
+  const PlannedStep& last = plan.steps.back();
+  if (steps[last.step].expected <= time_left) {
+    return last;
+  }
   // Not even the strongest step alone meets the deadline: the fastest step is the most likely to.
-  const auto fastest = std::min_element(
-      plan.steps.begin(), plan.steps.end(), [&](const auto& left, const auto& right) {
-        return steps[left.step].expected < steps[right.step].expected;
-      });
-  return this->DecisionToRun(*fastest, CascadeReason::kSkippedByDeadline);
+  return *std::min_element(plan.steps.begin(), plan.steps.end(),
+                           [&](const auto& left, const auto& right) {
+                             return steps[left.step].expected < steps[right.step].expected;
+                           });
 }
 
 bool CascadePolicy::ShortOfCapacity(const CascadeStep& step) const {
--- a/src/routing/names.cc
+++ b/src/routing/names.cc
@@ -143,6 +143,8 @@
       return "rating_down_accepted";
     case CascadeReason::kRatingDownEscalated:
       return "rating_down_escalated";
+    case CascadeReason::kSingleRun:
+      return "single_run";
   }
   return "unknown";
 }
--- a/src/routing/request_state_machine.cc
+++ b/src/routing/request_state_machine.cc
@@ -51,9 +51,13 @@
     return this->EndRefused(context, now, refusal->kind, refusal->retry_after, refusal->message);
   }
   if (std::holds_alternative<CascadeTarget>(this->traits.target)) {
+    const std::vector<CascadeStep> steps = this->CascadeSteps(context, now);
+    const Duration time_left = this->traits.deadline - now;
+    // A weak answer of a request that must not run twice cannot be replaced by a stronger one.
     const CascadeDecision decision =
-        context.cascades.Begin(this->StatisticsKey(), this->CascadeSteps(context, now),
-                               this->traits.deadline - now, context.random);
+        this->traits.Repeatable()
+            ? context.cascades.Begin(this->StatisticsKey(), steps, time_left, context.random)
+            : context.cascades.BeginSingleRun(this->StatisticsKey(), steps, time_left);
     this->Record(now, decision.reason);
     this->BeginStep(decision);
   }
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -196,6 +196,7 @@
   gateway::ActiveCalls active;
   gateway::StreamPace pace;
   gateway::AnswerLateness lateness;
+  gateway::ModelConfidence model_confidence;
   routing::EvidenceTable evidence;
   gateway::PromptGuard prompts;
 
@@ -239,6 +240,7 @@
       metrics,
       pace,
       lateness,
+      model_confidence,
       [this] {
         return std::make_shared<const gateway::GatewayView>(gateway::GatewayView{
             nullptr, this->Table(), this->HasLease() ? TimePoint::max() : TimePoint::min()});
--- a/test/routing/cascade_policy_test.cc
+++ b/test/routing/cascade_policy_test.cc
@@ -72,6 +72,43 @@
   }
 }
 
+const BeginCase kSingleRunCases[] = {
+    {"cheap step mostly passes", 0.95, TwoSteps(), kAmpleTime, 0, CascadeReason::kSingleRun},
+    {"cheap step often fails", 0.6, TwoSteps(), kAmpleTime, 1, CascadeReason::kSingleRun},
+    {"strong step short of capacity", 0.6, TwoSteps(3), kAmpleTime, 0, CascadeReason::kSingleRun},
+    {"time for the cheap step only", 0.6, TwoSteps(), seconds(2), 0, CascadeReason::kSingleRun},
+    {"time for none: the fastest", 0.95, TwoSteps(), milliseconds(10), 0,
+     CascadeReason::kSingleRun},
+    {"no upstream for the strong step",
+     0.6,
+     {{1, seconds(1), 0}, {10, Duration::max(), 0}},
+     kAmpleTime,
+     0,
+     CascadeReason::kSingleRun},
+    {"no upstream at all",
+     0.6,
+     {{1, Duration::max(), 0}, {10, Duration::max(), 0}},
+     kAmpleTime,
+     0,
+     CascadeReason::kLastStep},
+};
+
+// Pattern: requests that must not run twice, on a cascade whose cheap step passes more or less
+// often.
+TEST_CASE("a request that must not run twice gets the cheapest step that mostly passes, unrated") {
+  for (const BeginCase& test : kSingleRunCases) {
+    CAPTURE(test.name);
+    CascadePolicy policy({.sampling_share = 0});
+    TrainPassRate(policy, test.pass_rate, 1000);
+    const CascadeDecision decision = policy.BeginSingleRun(kKey, test.steps, test.time_left);
+    CHECK(decision.step == test.step);
+    CHECK(decision.reason == test.reason);
+    CHECK_FALSE(decision.rate);
+  }
+  const CascadePolicy untrained({.sampling_share = 0});
+  CHECK(untrained.BeginSingleRun(kKey, TwoSteps(), kAmpleTime).step == 1);
+}
+
 TEST_CASE("a skipped step is still sampled and is used again when its pass rate improves") {
   CascadePolicy policy({.sampling_share = 0.05});
   TrainPassRate(policy, 0.02);
--- a/test/routing/request_state_machine_test.cc
+++ b/test/routing/request_state_machine_test.cc
@@ -275,6 +275,29 @@
   CHECK(strong->cascade_step == 1);
 }
 
+// Guards against a second model that runs a request which must not run twice, since the first
+// model's answer was rated too low.
+TEST_CASE("a request that must not run twice runs one step of a cascade, and gets its answer") {
+  for (const bool has_key : {true, false}) {
+    CAPTURE(has_key);
+    RequestTraits traits = fakes::TraitsFor(CascadeTarget{fakes::kCascade});
+    traits.at_most_once = has_key;
+    traits.idempotent = has_key;
+    RequestRun run(traits);
+    const Dispatch* only = run.Last<Dispatch>();
+    REQUIRE(only != nullptr);
+    CHECK(only->version->model == kStrong);
+    CHECK(only->stream_to_caller);
+    run.Raise(AttemptStarted{1});
+    run.Raise(FirstTokenReceived{1});
+    run.Raise(AttemptFinished{1, 100});
+    const Answer* answer = run.Last<Answer>();
+    REQUIRE(answer != nullptr);
+    CHECK(answer->attempt == 1);
+    CHECK(run.Raise(RatingReceived{1, {RatingOutcome::kScore, 0.2}}).empty());
+  }
+}
+
 TEST_CASE("if the strong step fails, the cheap answer is returned and marked as degraded") {
   RequestRun run(fakes::TraitsFor(CascadeTarget{fakes::kCascade}));
   run.Raise(AttemptStarted{1});
