Gateways: what is buffered for all peers together is bounded

Streams of faulty engines with an event that does not end filled the memory of an entry; the platform ended it, and sound bookings were lost.

Cause: each buffer was bounded for itself, so memory followed the number of connections. Limits.MemoryMb was read and used by nobody. Whole answers had a bound over all, but the answer that met it was cut, whoever it came from.

Change: a budget of bytes, sized by the memory that the platform allows, in which a service may hold half of what the others leave and a buffer a share of what its service may still hold. It covers heads, events and whole answers. The body of a request is no longer copied to be sent. Metrics by kind; a log line for each answer that is cut. The test of the sum over answers used a counter that is gone. It checks the same against the budget, and now also what the upstream could send.

--- a/include/masticrill/gateway/event_splitter.h
+++ b/include/masticrill/gateway/event_splitter.h
@@ -19,6 +19,8 @@
   std::uint64_t EventCount() const { return this->event_count; }
   /// The bytes of the incomplete event at the end.
   const std::string& Pending() const { return this->pending; }
+  /// The memory that the incomplete event takes.
+  std::size_t HeldBytes() const { return this->pending.capacity(); }
   /// Whether the event at the end is longer than any that is believed.
   bool TooLong() const { return this->pending.size() > kMaxEventBytes; }
   /// Discards the incomplete event, as the stream resumes at another upstream. What follows must
--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -37,7 +37,7 @@
   /// The longest header of an upstream's answer, and the longest body that is buffered.
   std::size_t max_answer_head_bytes = std::size_t{64} << 10U;
   std::size_t max_answer_bytes = std::size_t{8} << 20U;
-  /// All bodies that are buffered at the same time.
+  /// All that is buffered for callers and upstreams at the same time, see BufferBudget.
   std::size_t max_buffered_bytes = std::size_t{32} << 20U;
   /// The share of its latency target that a request may wait for capacity at a cold upstream.
   double cold_wait_share = 0.5;
--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -1,5 +1,4 @@
 // The part of CallRunner that relays an upstream's answer, or discards it.
-#include <atomic>
 #include <utility>
 
 #include "gateway/call_runner.h"
@@ -22,25 +21,6 @@
   return std::string(head.Header("Content-Type").value_or(""));
 }
 
-/// The part of one answer in the bytes that all answers of the gateway have buffered.
-class BufferedBytes {
- public:
-  explicit BufferedBytes(std::atomic<std::size_t>& total) : total(total) {}
-  ~BufferedBytes() { this->total -= this->own; }
-  BufferedBytes(const BufferedBytes&) = delete;
-  BufferedBytes& operator=(const BufferedBytes&) = delete;
-
-  void Add(std::size_t bytes) {
-    this->own += bytes;
-    this->total += bytes;
-  }
-  std::size_t Total() const { return this->total; }
-
- private:
-  std::atomic<std::size_t>& total;
-  std::size_t own = 0;
-};
-
 }  // namespace
 
 /// Records the result of an attempt for the health of its upstream and the evidence on its version.
@@ -124,6 +104,18 @@
   return this->RelayWhole(attempt);
 }
 
+/// The name in the budget under which answers of the request's service are held.
+std::string CallRunner::AnswerOwner() const { return "service " + this->service.Value(); }
+
+void CallRunner::LogEndless(const UpstreamAttempt& attempt, std::size_t bytes) const {
+  kLog.Warning("An upstream's answer does not end within its share of memory; cut off.",
+               {{"request", this->metadata.request},
+                {"upstream", attempt.Upstream().id},
+                {"service", this->service},
+                {"bytes", bytes},
+                {"held_bytes", this->context.buffers.HeldBytes()}});
+}
+
 /// Records how confident the model is of the answer, for the choice of the model of later requests.
 void CallRunner::RecordConfidence() {
   if (this->confidence && this->metadata.any_model && !this->route->models.empty()) {
@@ -155,13 +147,15 @@
   std::string answer;
   const AttemptTimes times = this->MakeTimes(this->attempts);
   AttemptEnd end = AttemptEnd::kAnswered;
-  BufferedBytes buffered(this->context.metrics.buffered_bytes);
-  while (end == AttemptEnd::kAnswered && answer.size() <= this->context.settings.max_answer_bytes &&
-         buffered.Total() <= this->context.settings.max_buffered_bytes) {
+  BufferShare held(this->context.buffers, BufferKind::kAnswerBody, this->AnswerOwner());
+  while (end == AttemptEnd::kAnswered && answer.size() <= this->context.settings.max_answer_bytes) {
     std::string part;
     end = attempt.ReadPart(part, this->caller.Socket(), times);
     answer += part;
-    buffered.Add(part.size());
+    if (!held.Resize(answer.capacity())) {
+      this->LogEndless(attempt, answer.size());
+      end = AttemptEnd::kBroken;
+    }
   }
   if (end != AttemptEnd::kFinished) {
     return this->OnEnd(attempt, end == AttemptEnd::kAnswered ? AttemptEnd::kBroken : end);
@@ -201,13 +195,18 @@
 
 CallRunner::NextStep CallRunner::RelayStream(UpstreamAttempt& attempt) {
   const AttemptTimes times = this->MakeTimes(this->attempts);
+  BufferShare held(this->context.buffers, BufferKind::kEvent, this->AnswerOwner());
   this->events.Resume();
   const std::uint64_t events_before = this->events.EventCount();
   while (true) {
     std::string part;
     AttemptEnd end = attempt.ReadPart(part, this->caller.Socket(), times);
     const std::string events_now = this->events.Feed(part);
-    if (this->events.TooLong() || this->events.Misplaced()) {
+    const bool has_room = held.Resize(this->events.HeldBytes());
+    if (!has_room || this->events.TooLong()) {
+      this->LogEndless(attempt, this->events.Pending().size());
+    }
+    if (!has_room || this->events.TooLong() || this->events.Misplaced()) {
       end = AttemptEnd::kBroken;
     }
     if (!events_now.empty()) {
--- a/src/gateway/call_move.cc
+++ b/src/gateway/call_move.cc
@@ -62,7 +62,7 @@
     return false;
   }
   auto attempt = std::make_unique<UpstreamAttempt>(pick, this->context.protocol, this->context.pool,
-                                                   this->context.settings);
+                                                   this->context.buffers, this->context.settings);
   const AttemptEnd end = attempt->Connect(this->caller.Socket(), this->WaitUntil());
   if (end == AttemptEnd::kNotConnected) {
     attempt->SetNotConnected();
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -459,8 +459,9 @@
       return NextStep::kStop;
     }
     this->next_pick = *pick;
-    this->next = std::make_unique<UpstreamAttempt>(*pick, this->context.protocol,
-                                                   this->context.pool, this->context.settings);
+    this->next =
+        std::make_unique<UpstreamAttempt>(*pick, this->context.protocol, this->context.pool,
+                                          this->context.buffers, this->context.settings);
   }
   const std::unique_ptr<UpstreamAttempt> owned = std::move(this->next);
   UpstreamAttempt& attempt = *owned;
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -16,6 +16,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/model_confidence.h"
 #include "gateway/upstream_attempt.h"
+#include "masticrill/common/buffer_budget.h"
 #include "masticrill/common/refusal.h"
 #include "masticrill/config/lease.h"
 #include "masticrill/gateway/answer_lateness.h"
@@ -50,6 +51,7 @@
   const CallSettings& settings;
   UpstreamPool& pool;
   RetryBudgets& budgets;
+  BufferBudget& buffers;
   routing::EvidenceTable& evidence;
   PromptGuard& prompts;
   GatewayMetrics& metrics;
@@ -135,6 +137,8 @@
   NextStep MakeAttempt();
   NextStep OnEnd(UpstreamAttempt& attempt, AttemptEnd end);
   NextStep OnAnswer(UpstreamAttempt& attempt);
+  std::string AnswerOwner() const;
+  void LogEndless(const UpstreamAttempt& attempt, std::size_t bytes) const;
   NextStep RelayWhole(UpstreamAttempt& attempt);
   NextStep RelayStream(UpstreamAttempt& attempt);
   bool BeginStream(const UpstreamAttempt& attempt);
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -24,6 +24,9 @@
   }
 }
 
+/// Memory that is kept after a long event for the next ones.
+constexpr std::size_t kKeptBytes = 16'384;
+
 constexpr std::string_view kIdField = "id:";
 constexpr std::string_view kDataField = "data:";
 
@@ -95,6 +98,9 @@
   }
   std::string events = this->pending.substr(0, whole);
   this->pending.erase(0, whole);
+  if (this->pending.capacity() > kKeptBytes && this->pending.size() < kKeptBytes) {
+    this->pending.shrink_to_fit();
+  }
   return events;
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -25,9 +25,6 @@
                static_cast<double>(this->in_flight.load()));
   writer.Gauge("masticrill_gateway_connections", "Open connections from callers.",
                static_cast<double>(this->connections.load()));
-  writer.Gauge("masticrill_gateway_buffered_bytes",
-               "Bytes of answers that wait until they are complete.",
-               static_cast<double>(this->buffered_bytes.load()));
   writer.EnumCounters("masticrill_gateway_refused_total",
                       "Requests that ended without an upstream's answer, by reason.", "reason",
                       this->refusals);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -26,8 +26,6 @@
   std::atomic<std::uint64_t> pauses = 0;
   std::atomic<std::int64_t> in_flight = 0;
   std::atomic<std::int64_t> connections = 0;
-  /// Bytes of answers that wait until they are complete.
-  std::atomic<std::size_t> buffered_bytes = 0;
   EnumCounter<RefusalKind, kAllRefusalKinds.size()> refusals{kAllRefusalKinds};
   EnumCounter<routing::RetryReason, routing::kAllRetryReasons.size()> retries{
       routing::kAllRetryReasons};
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -64,6 +64,25 @@
   return parts;
 }
 
+void WriteBuffers(MetricsWriter& writer, const BufferBudget& buffers) {
+  writer.Gauge("masticrill_gateway_buffer_limit_bytes",
+               "The most that may be buffered for callers and upstreams.",
+               static_cast<double>(buffers.MaxBytes()));
+  writer.Header("masticrill_gateway_buffered_bytes",
+                "Bytes that are buffered for callers and upstreams, but for small buffers.",
+                "gauge");
+  for (const BufferKind kind : kAllBufferKinds) {
+    writer.Labelled("masticrill_gateway_buffered_bytes", "kind", ToString(kind),
+                    static_cast<double>(buffers.HeldBytes(kind)));
+  }
+  writer.Header("masticrill_gateway_buffer_refusals_total",
+                "Bodies, answers and events that were given up for lack of memory.", "counter");
+  for (const BufferKind kind : kAllBufferKinds) {
+    writer.Labelled("masticrill_gateway_buffer_refusals_total", "kind", ToString(kind),
+                    static_cast<double>(buffers.Refusals(kind)));
+  }
+}
+
 }  // namespace
 
 struct GatewayServer::State {
@@ -75,11 +94,13 @@
                           .rollout = this->options.rollout},
              Random::FromSystem()),
         budgets(this->options.call),
+        buffers(this->options.call.max_buffered_bytes),
         prompts([this] { this->leases->RenewSoon(); }),
         call_context{this->protocol,
                      this->options.call,
                      this->pool,
                      this->budgets,
+                     this->buffers,
                      this->evidence,
                      this->prompts,
                      this->metrics,
@@ -124,6 +145,7 @@
   SystemClock clock;
   UpstreamPool pool;
   RetryBudgets budgets;
+  BufferBudget buffers;
   routing::EvidenceTable evidence;
   PromptGuard prompts;
   GatewayMetrics metrics;
@@ -452,6 +474,7 @@
   writer.Gauge("masticrill_gateway_blocked_prompt_parts",
                "Parts of prompts with which requests are refused.",
                static_cast<double>(this->prompts.BlockedCount(this->clock.Now())));
+  WriteBuffers(writer, this->buffers);
   writer.Counter("masticrill_log_lines_dropped_total",
                  "Log lines that were dropped because their reader was too slow.",
                  DroppedLogLines());
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -25,6 +25,7 @@
 }
 
 constexpr int kFirstFinalStatus = 200;
+constexpr std::size_t kMaxCopiedBodyBytes = 16'384;
 
 bool IsSuccess(int status) {
   constexpr int kFirstRedirect = 300;
@@ -62,10 +63,12 @@
 }
 
 UpstreamAttempt::UpstreamAttempt(const UpstreamPick& pick, const EdgeProtocol& protocol,
-                                 UpstreamPool& pool, const CallSettings& settings)
+                                 UpstreamPool& pool, BufferBudget& buffers,
+                                 const CallSettings& settings)
     : upstream(pick.upstream),
       waiting_work(pick.work),
       protocol(protocol),
+      buffers(buffers),
       pool(pool),
       settings(settings) {}
 
@@ -123,13 +126,27 @@
   }
   forwarded.headers.push_back({"Connection", "close"});
   std::string bytes = net::WriteRequestHead(forwarded);
-  bytes.append(body);
+  // A small body goes out in one packet with the head; a large one is not copied.
+  const bool is_small = body.size() <= kMaxCopiedBodyBytes;
+  if (is_small) {
+    bytes.append(body);
+  }
   this->started_at = this->clock.Now();
   this->last_received_at = this->started_at;
   this->handed_over = true;
   if (times.on_hand_over) {
     times.on_hand_over();
   }
+  if (const AttemptEnd end = this->SendPart(bytes, caller, times);
+      is_small || end != AttemptEnd::kAnswered || this->stream->Readable()) {
+    return end;
+  }
+  return this->SendPart(body, caller, times);
+}
+
+/// Sends a part of the request. Ends early, with kAnswered, when the upstream answers meanwhile.
+AttemptEnd UpstreamAttempt::SendPart(std::string_view bytes, const net::SocketStream& caller,
+                                     const AttemptTimes& times) {
   std::string_view left = bytes;
   while (true) {
     const std::optional<TimePoint> stop_by = times.stop_by ? times.stop_by() : std::nullopt;
@@ -201,6 +218,8 @@
 
 AttemptEnd UpstreamAttempt::ReadOneHead(std::string& block, const net::SocketStream& caller,
                                         const AttemptTimes& times) {
+  BufferShare held(this->buffers, BufferKind::kAnswerHead,
+                   "service " + this->upstream.service.Value());
   while (true) {
     const std::string_view bytes = this->stream->Buffered();
     if (const std::size_t end = net::FindHeadEnd(bytes); end != std::string_view::npos) {
@@ -208,7 +227,7 @@
       this->stream->Consume(end);
       return AttemptEnd::kAnswered;
     }
-    if (bytes.size() > this->settings.max_answer_head_bytes) {
+    if (bytes.size() > this->settings.max_answer_head_bytes || !held.Resize(bytes.size())) {
       return AttemptEnd::kBroken;
     }
     if (const AttemptEnd end = this->FillOnce(caller, times); end != AttemptEnd::kAnswered) {
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "masticrill/common/buffer_budget.h"
 #include "masticrill/common/clock.h"
 #include "masticrill/gateway/edge_protocol.h"
 #include "masticrill/gateway/gateway_settings.h"
@@ -60,7 +61,7 @@
   /// Takes over the request that UpstreamPool::Pick counted as in flight. The references outlive
   /// the attempt.
   UpstreamAttempt(const UpstreamPick& pick, const EdgeProtocol& protocol, UpstreamPool& pool,
-                  const CallSettings& settings);
+                  BufferBudget& buffers, const CallSettings& settings);
   ~UpstreamAttempt();
   UpstreamAttempt(const UpstreamAttempt&) = delete;
   UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
@@ -107,6 +108,8 @@
   AttemptEnd HandOver(const net::RequestHead& request, const AttemptParameters& parameters,
                       std::string_view body, const net::SocketStream& caller,
                       const AttemptTimes& times);
+  AttemptEnd SendPart(std::string_view bytes, const net::SocketStream& caller,
+                      const AttemptTimes& times);
   AttemptEnd ReadHead(const net::SocketStream& caller, const AttemptTimes& times);
   AttemptEnd ReadOneHead(std::string& block, const net::SocketStream& caller,
                          const AttemptTimes& times);
@@ -118,6 +121,7 @@
   /// The work that is counted as waiting at the upstream until the answer begins.
   double waiting_work;
   const EdgeProtocol& protocol;
+  BufferBudget& buffers;
   UpstreamPool& pool;
   const CallSettings& settings;
   SystemClock clock;
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -81,7 +81,9 @@
 /// A gateway's request path between a caller on loopback and upstreams, without a control plane.
 class GatewayPath {
  public:
-  explicit GatewayPath(gateway::Route prototype) : budgets(settings) {
+  explicit GatewayPath(gateway::Route prototype,
+                       std::size_t max_buffered_bytes = gateway::CallSettings().max_buffered_bytes)
+      : buffers(max_buffered_bytes), budgets(settings) {
     this->Declare(std::move(prototype));
   }
 
@@ -179,6 +181,7 @@
   }
 
   gateway::CallSettings settings;
+  BufferBudget buffers;
   std::atomic<gateway::StopPhase> phase = gateway::StopPhase::kServing;
   std::atomic<bool> lease_valid = true;
   /// How many of the next requests for the configuration find its lease lapsed.
@@ -235,6 +238,7 @@
       settings,
       pool,
       budgets,
+      buffers,
       evidence,
       prompts,
       metrics,
--- a/test/gateway/endless_bytes_test.cc
+++ b/test/gateway/endless_bytes_test.cc
@@ -1,8 +1,12 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "fakes/gateway_caller.h"
 #include "fakes/raw_upstream.h"
@@ -103,7 +107,7 @@
     CHECK(path.Send(kPost).Status() == 200);
     CHECK(endless.AwaitClosed());
     CHECK(endless.Written() < 8 * path.settings.max_answer_bytes + kSocketBytes);
-    CHECK(path.metrics.buffered_bytes == 0);
+    CHECK(path.buffers.HeldBytes() == 0);
   }
 }
 
@@ -154,12 +158,77 @@
 TEST_CASE("answers that are buffered at the same time are bounded together") {
   const EndlessUpstream endless(kHead + "\r\n", "x");
   GatewayPath path(RouteOf(RouteKind::kAtMostOnce, 1));
-  path.settings.max_buffered_bytes = std::size_t{1} << 20U;
   path.SetUpstreams({endless.Address()});
-  // Another request has buffered nearly as much.
-  path.metrics.buffered_bytes += path.settings.max_buffered_bytes - 10'000;
+  // Other requests of the service have buffered nearly as much as it may hold.
+  const std::size_t most = path.buffers.MaxBytes() / 2;
+  BufferShare first(path.buffers, BufferKind::kRequestBody, "service " + fakes::kService.Value());
+  REQUIRE(first.Resize(most));
+  const std::size_t held = path.buffers.HeldBytes();
   CHECK(path.Send(kPost).Status() == 502);
-  CHECK(path.metrics.buffered_bytes == path.settings.max_buffered_bytes - 10'000);
+  CHECK(endless.Written() < kSocketBytes);
+  CHECK(path.buffers.HeldBytes() == held);
+}
+
+// Guards against a process that runs out of memory, since many streams carry an event, or many
+// answers a head or a body, that does not end: each within its own bound.
+TEST_CASE("bytes without end from many connections are bounded together, beside sound requests") {
+  struct Form {
+    RouteKind kind;
+    std::string prefix;
+    std::string repeated;
+  };
+  const Form forms[] = {
+      {RouteKind::kStream, kHead + "\r\n", "x"},
+      {RouteKind::kStream, kHead + "\r\n", ": comment\n"},
+      {RouteKind::kAtMostOnce, kHead + "\r\n", "x"},
+      {RouteKind::kAtMostOnce, kHead, "Filler: x\r\n"},
+  };
+  constexpr int kCalls = 40;
+  constexpr std::size_t kBlockBytes = 8192;
+  for (const Form& form : forms) {
+    CAPTURE(form.prefix);
+    CAPTURE(form.repeated);
+    std::atomic<std::size_t> sent = 0;
+    std::atomic<std::size_t> most = 0;
+    GatewayPath path(RouteOf(form.kind, 1), std::size_t{4} << 20U);
+    // Each connection sends a block at a time, so that all grow together. The gateway passes
+    // nothing on, so it holds what was sent on connections that are open.
+    RawUpstream faulty([&](const RawCall& call) {
+      std::string block;
+      while (block.size() < kBlockBytes) {
+        block += form.repeated;
+      }
+      std::size_t own = 0;
+      bool goes_on = call.Write(form.prefix);
+      while (goes_on) {
+        goes_on = call.Write(block) &&
+                  call.socket.Fill(SystemClock().Now() + milliseconds(5)) == net::IoEnd::kTimeout;
+        own += block.size();
+        most = std::max(most.load(), sent += block.size());
+      }
+      sent -= own;
+    });
+    path.SetUpstreams({faulty.Address()});
+    std::vector<std::thread> callers;
+    std::atomic<int> answered = 0;
+    std::vector<std::unique_ptr<net::SocketStream>> connections;
+    for (int call = 0; call < kCalls; ++call) {
+      connections.push_back(path.Connect());
+      connections.back()->Write(kPost, SystemClock().Now() + seconds(10));
+    }
+    for (const auto& connection : connections) {
+      callers.emplace_back([&answered, &connection] {
+        answered += GatewayPath::Read(*connection).bytes.ends_with("0\r\n\r\n") ? 1 : 0;
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    CHECK(answered == 0);
+    // A few blocks of each connection may be on their way.
+    CHECK(most <= path.buffers.MaxBytes() + kCalls * (BufferBudget::kFreeBytes + 8 * kBlockBytes));
+    CHECK(path.buffers.HeldBytes() == 0);
+  }
 }
 
 }  // namespace
--- a/test/platform/platform_settings_test.cc
+++ b/test/platform/platform_settings_test.cc
@@ -40,6 +40,16 @@
   return kGood.substr(0, begin) + line + kGood.substr(end);
 }
 
+TEST_CASE("what may be buffered follows the memory of a process, with what it needs taken off") {
+  CHECK(BufferBytes(0) == 0);
+  CHECK(BufferBytes(20) == 0);
+  CHECK(BufferBytes(88) < BufferBytes(110));
+  for (const std::uint64_t memory_mb : {88, 96, 110, 160, 220}) {
+    CHECK(BufferBytes(memory_mb) < memory_mb * 1'000'000 / 2);
+    CHECK(BufferBytes(memory_mb) > memory_mb * 1'000'000 / 5);
+  }
+}
+
 TEST_CASE("the file of the platform is read into the project's words") {
   const PlatformSettings settings = Parse(kGood);
   CHECK(settings.host_name == "host-1");
