Gateways: the bodies of all callers together are bounded

Cause: each body is kept until its request ends, and bounded for itself only.

Change: bodies are counted in the entry's budget, under the team that sends them. One that finds no room is refused with 503 and Retry-After, before it is read where its length is declared. A body that is declared above the limit is refused before it is read.

--- a/include/masticrill/common/buffer_budget.h
+++ b/include/masticrill/common/buffer_budget.h
@@ -27,9 +27,9 @@
 std::string_view ToString(BufferKind kind);
 
 /// Bounds the bytes that a process buffers for its peers. Each owner, such as a team or a service,
-/// may hold at most as much as it leaves unused, and each buffer a share of what its owner may
-/// still hold. So buffers that grow without end, however many, leave room for those of the same
-/// owner that stay small, and for other owners. Thread-safe.
+/// may hold three quarters of what the other owners leave, and each buffer a share of what its
+/// owner may still hold. So buffers that grow without end, however many, leave room for those of
+/// the same owner that stay small, and for other owners. Thread-safe.
 class BufferBudget {
  public:
   /// What every buffer may hold without being counted.
--- a/include/masticrill/net/body_decoder.h
+++ b/include/masticrill/net/body_decoder.h
@@ -26,6 +26,8 @@
   /// The framing is broken; nothing more is decoded.
   bool Malformed() const { return this->state == State::kMalformed; }
   BodyFraming Framing() const { return this->framing; }
+  /// The bytes that are still to come of the body, or of its present chunk.
+  std::uint64_t BytesLeft() const { return this->left; }
 
  private:
   enum class State { kData, kChunkSize, kChunkEnd, kTrailer, kDone, kMalformed };
--- a/src/common/buffer_budget.cc
+++ b/src/common/buffer_budget.cc
@@ -17,8 +17,8 @@
   return 4;
 }
 
-/// The part of what other owners leave that one owner may take.
-constexpr std::size_t kOwnerDivisor = 2;
+/// The most that one owner may take of what the other owners leave.
+std::size_t OwnerMax(std::size_t left_by_others) { return left_by_others / 4 * 3; }
 
 std::size_t IndexOf(BufferKind kind) { return static_cast<std::size_t>(kind); }
 
@@ -62,8 +62,7 @@
   const auto found = this->owners.find(owner);
   const std::size_t owner_held = found == this->owners.end() ? 0 : found->second;
   if (next > former) {
-    const std::size_t owner_max =
-        Difference(this->max_bytes, this->held - owner_held) / kOwnerDivisor;
+    const std::size_t owner_max = OwnerMax(Difference(this->max_bytes, this->held - owner_held));
     const std::size_t left = Difference(owner_max, owner_held - former);
     if (next > left / DivisorOf(kind)) {
       ++of_kind.refusals;
--- a/src/gateway/call_end.cc
+++ b/src/gateway/call_end.cc
@@ -1,7 +1,5 @@
 // The part of CallRunner that ends a request: its refusal and its record.
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -14,13 +12,6 @@
 
 constexpr Logger kLog(LogPart::kGateway);
 
-std::string RetryAfterText(milliseconds delay) {
-  std::array<char, 32> text{};
-  const std::chrono::duration<double> in_seconds = delay;
-  const int size = std::snprintf(text.data(), text.size(), "%.2f", in_seconds.count());
-  return {text.data(), static_cast<std::size_t>(size)};
-}
-
 }  // namespace
 
 Execution CallRunner::ExecutionSoFar() const {
--- a/src/gateway/call_status.h
+++ b/src/gateway/call_status.h
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
+#include <string>
 
 #include "masticrill/common/clock.h"
 
@@ -17,6 +19,14 @@
   return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) != kNotRunStatuses.end();
 }
 
+/// The value of Retry-After, in seconds.
+inline std::string RetryAfterText(milliseconds delay) {
+  std::array<char, 32> text{};
+  const std::chrono::duration<double> in_seconds = delay;
+  const int size = std::snprintf(text.data(), text.size(), "%.2f", in_seconds.count());
+  return {text.data(), static_cast<std::size_t>(size)};
+}
+
 }  // namespace masticrill::gateway
 
 #endif  // MASTICRILL_GATEWAY_CALL_STATUS_H_
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/call_status.h"
 #include "masticrill/common/log.h"
 #include "masticrill/common/result.h"
 
@@ -19,6 +20,8 @@
 constexpr Duration kLingerTime = milliseconds(500);
 /// The longest pause between two reads of a request's body.
 constexpr Duration kBodyTimeout = seconds(10);
+/// A Content-Length with fewer digits is that of a small body.
+constexpr std::size_t kLargeLengthDigits = 5;
 /// How much longer than `CallerLimits::idle_timeout` an idle connection is kept. Short, since
 /// callers send the next request right after an answer or not at all.
 constexpr Duration kIdleMargin = milliseconds(500);
@@ -28,11 +31,12 @@
 CallerConnection::CallerConnection(net::SocketStream socket, std::function<CallerLimits()> limits,
                                    std::function<StopPhase()> phase,
                                    std::function<std::optional<TimePoint>()> answer_by,
-                                   Handler handler)
+                                   BodyBudget bodies, Handler handler)
     : socket(std::move(socket)),
       limits(std::move(limits)),
       phase(std::move(phase)),
       answer_by(std::move(answer_by)),
+      bodies(std::move(bodies)),
       handler(std::move(handler)) {}
 
 void CallerConnection::Run() {
@@ -58,8 +62,11 @@
     return NextStep::kFinishAnswer;
   }
   const TimePoint arrived_at = this->clock.Now();
+  // Counted until the request has ended, since it may have to be sent again.
+  BufferShare held(this->bodies.buffers, BufferKind::kRequestBody, this->OwnerOf(head));
   std::string body;
-  if (const ReadResult result = this->ReadBody(current, head, body); result != ReadResult::kRead) {
+  if (const ReadResult result = this->ReadBody(current, head, body, held);
+      result != ReadResult::kRead) {
     this->RefuseAndClose(result, false);
     return NextStep::kFinishAnswer;
   }
@@ -147,9 +154,16 @@
   }
 }
 
+std::string CallerConnection::OwnerOf(const net::RequestHead& head) const {
+  const std::optional<std::string_view> length = head.Header("Content-Length");
+  const bool may_be_large = head.Header("Transfer-Encoding").has_value() ||
+                            (length && length->size() >= kLargeLengthDigits);
+  return may_be_large ? "team " + this->bodies.owner_of(head) : "";
+}
+
 CallerConnection::ReadResult CallerConnection::ReadBody(const CallerLimits& current,
                                                         const net::RequestHead& head,
-                                                        std::string& body) {
+                                                        std::string& body, BufferShare& held) {
   net::BodyDecoder decoder;
   const bool framed = HandleErrors(
       [&]() -> Result<bool> {
@@ -163,6 +177,15 @@
   if (!framed) {
     return ReadResult::kMalformed;
   }
+  if (decoder.Framing() == net::BodyFraming::kLength) {
+    if (decoder.BytesLeft() > current.max_body_bytes) {
+      return ReadResult::kTooLarge;
+    }
+    if (!held.Resize(decoder.BytesLeft())) {
+      return ReadResult::kNoRoom;
+    }
+    body.reserve(decoder.BytesLeft());
+  }
   if (const auto expect = head.Header("Expect"); expect && !decoder.Done()) {
     this->socket.Write("HTTP/1.1 100 Continue\r\n\r\n", this->clock.Now() + kLingerTime);
   }
@@ -177,6 +200,9 @@
     if (body.size() > current.max_body_bytes) {
       return ReadResult::kTooLarge;
     }
+    if (!held.Resize(body.capacity())) {
+      return ReadResult::kNoRoom;
+    }
     if (decoder.Done()) {
       return ReadResult::kRead;
     }
@@ -197,6 +223,7 @@
   constexpr int kUnavailable = 503;
   int status = 0;
   std::string_view message;
+  std::vector<net::HeaderField> headers = {{"Content-Type", "text/plain"}};
   switch (result) {
     case ReadResult::kMalformed:
       status = kBadRequest;
@@ -215,6 +242,12 @@
       status = kUnavailable;
       message = "This node is stopping. Use another node.";
       break;
+    case ReadResult::kNoRoom:
+      status = kUnavailable;
+      message =
+          "This node has no memory left for the body; the request has not run. Send it again.";
+      headers.push_back({"Retry-After", RetryAfterText(this->bodies.retry_after)});
+      break;
     case ReadResult::kRead:
     case ReadResult::kIdle:
     case ReadResult::kDisconnected:
@@ -223,8 +256,7 @@
   kLog.Info("A request was refused before it was read completely.",
             {{"status", status}, {"cause", message}});
   CallerStream caller(this->socket, net::RequestHead{}, false);
-  caller.SendWhole(status, {{"Content-Type", "text/plain"}}, message,
-                   this->clock.Now() + kLingerTime);
+  caller.SendWhole(status, std::move(headers), message, this->clock.Now() + kLingerTime);
 }
 
 }  // namespace masticrill::gateway
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -7,6 +7,7 @@
 
 #include "gateway/caller_stream.h"
 #include "gateway/stop_phase.h"
+#include "masticrill/common/buffer_budget.h"
 #include "masticrill/common/clock.h"
 #include "masticrill/gateway/route_table.h"
 #include "masticrill/net/http_message.h"
@@ -20,18 +21,37 @@
   using Handler = std::function<void(const net::RequestHead&, const std::string& body,
                                      CallerStream& caller, TimePoint arrived_at)>;
 
+  /// Where the bodies of requests are counted, and by whom: `owner_of` names the owner of a
+  /// request.
+  struct BodyBudget {
+    BufferBudget& buffers;
+    std::function<std::string(const net::RequestHead&)> owner_of;
+    /// The Retry-After of a request whose body finds no room.
+    milliseconds retry_after{0};
+  };
+
   /// `limits` returns the limits in force, `phase` the phase of a stop of this process, `answer_by`
   /// when every request must have its answer, if such a stop has begun.
   CallerConnection(net::SocketStream socket, std::function<CallerLimits()> limits,
                    std::function<StopPhase()> phase,
-                   std::function<std::optional<TimePoint>()> answer_by, Handler handler);
+                   std::function<std::optional<TimePoint>()> answer_by, BodyBudget bodies,
+                   Handler handler);
 
   /// Returns when the connection has ended.
   void Run();
 
  private:
   /// The result of reading a part of a request.
-  enum class ReadResult { kRead, kIdle, kDisconnected, kTooLarge, kTooSlow, kStopping, kMalformed };
+  enum class ReadResult {
+    kRead,
+    kIdle,
+    kDisconnected,
+    kTooLarge,
+    kTooSlow,
+    kStopping,
+    kMalformed,
+    kNoRoom,  // Too much is buffered for other requests.
+  };
 
   /// What follows on the connection.
   enum class NextStep {
@@ -45,7 +65,10 @@
   bool HasArrived();
   ReadResult AwaitFirstByte(const CallerLimits& current);
   ReadResult ReadHead(const CallerLimits& current, net::RequestHead& head);
-  ReadResult ReadBody(const CallerLimits& current, const net::RequestHead& head, std::string& body);
+  /// The owner under whom the body is counted; empty for one that is too small to be counted.
+  std::string OwnerOf(const net::RequestHead& head) const;
+  ReadResult ReadBody(const CallerLimits& current, const net::RequestHead& head, std::string& body,
+                      BufferShare& held);
   /// Waits for the next bytes of a request, at most until then.
   ReadResult FillRequest(TimePoint read_by);
   void RefuseAndClose(ReadResult result, bool in_header);
@@ -54,6 +77,7 @@
   std::function<CallerLimits()> limits;
   std::function<StopPhase()> phase;
   std::function<std::optional<TimePoint>()> answer_by;
+  BodyBudget bodies;
   Handler handler;
   SystemClock clock;
 };
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -131,6 +131,8 @@
   std::optional<TimePoint> AnswerBy() const;
   CallerLimits Limits() const;
   bool IsReady() const;
+  /// The team whose key a request has; empty for an unknown or missing key.
+  std::string TeamOf(const net::RequestHead& head) const;
   void Serve(const Poco::Net::StreamSocket& socket);
   /// Handles one request; one that fails by an exception is answered, too.
   void Handle(const net::RequestHead& head, const std::string& body, CallerStream& caller,
@@ -391,12 +393,21 @@
          current->HasLease(this->clock.Now());
 }
 
+std::string GatewayServer::State::TeamOf(const net::RequestHead& head) const {
+  const GatewayViewPtr current = this->View();
+  const KeyOwner* owner =
+      current == nullptr ? nullptr : current->table->FindKey(this->protocol.read_call(head).key);
+  return owner == nullptr ? "" : owner->team.Value();
+}
+
 void GatewayServer::State::Serve(const Poco::Net::StreamSocket& socket) {
   const CountedWhile counted(this->metrics.connections);
   try {
     CallerConnection connection(
         net::SocketStream(socket), [this] { return this->Limits(); },
         [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
+        {this->buffers, [this](const net::RequestHead& head) { return this->TeamOf(head); },
+         this->options.call.retry_after},
         [this](const net::RequestHead& head, const std::string& body, CallerStream& caller,
                TimePoint arrived_at) { this->Handle(head, body, caller, arrived_at); });
     connection.Run();
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -165,6 +165,9 @@
             return limits;
           },
           [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
+          {this->buffers,
+           [this](const net::RequestHead& head) { return this->edge.read_call(head).key; },
+           this->settings.retry_after},
           [this](const net::RequestHead& head, const std::string& body,
                  gateway::CallerStream& stream, TimePoint arrived_at) {
             gateway::CallRunner(this->parts, head, body, stream, arrived_at).Run();
--- a/test/gateway/caller_connection_test.cc
+++ b/test/gateway/caller_connection_test.cc
@@ -59,6 +59,7 @@
       CallerConnection connection(
           net::SocketStream(accepted), [] { return CallerLimits{}; }, phase,
           [] { return std::nullopt; },
+          {this->buffers, [](const net::RequestHead&) { return std::string(); }, milliseconds(100)},
           [](const net::RequestHead&, const std::string&, CallerStream& stream, TimePoint) {
             stream.SendWhole(200, {}, "ok", SystemClock().Now() + seconds(10));
           });
@@ -82,6 +83,7 @@
   std::atomic<bool> ended = false;
 
  private:
+  BufferBudget buffers{std::size_t{1} << 20U};
   Poco::Net::ServerSocket listener{Poco::Net::SocketAddress("127.0.0.1:0")};
   int observer = -1;
   std::thread thread;
