Upstream list: a missing time of start is not a restart

What would be seen: an upstream that has said that it leaves, or asked for a pause, gets new work, since the list leaves out its time of start now and then.

Cause: any difference of the time between two readings was taken for a restart, and what the upstream had said was forgotten.

Change: a missing time changes nothing; the next one is compared with the last one known. Where the time is always missing, nothing was wrong before either.

Evidence: the new case of upstream_pool_test fails without the change for two of its eight lists, and passes with it.

--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -44,7 +44,9 @@
                                          {"version", listed.version},
                                          {"failure_domain", listed.failure_domain}});
     }
-    if (!added && listed.started_at != member.listed.started_at) {
+    // A list may leave the time out; what it says next is compared with the last one known.
+    const WallTimeMs known_start = member.listed.started_at;
+    if (!added && known_start != 0 && listed.started_at != 0 && listed.started_at != known_start) {
       this->OnRestart(member, now);
     }
     if (!added && listed.leaving && !member.listed.leaving) {
@@ -59,6 +61,9 @@
       member.cold_until = std::max(member.cold_until, now + Duration(listed.cold_left));
     }
     member.listed = listed;
+    if (listed.started_at == 0) {
+      member.listed.started_at = known_start;
+    }
     member.present = true;
     member.last_listed_at = now;
   }
--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -453,6 +453,30 @@
   CHECK(PickAt(*pool, 2).upstream.id == UpstreamId("a"));
 }
 
+// Guards against an upstream that is taken to have started again, and gets new work although it has
+// said that it leaves, since the list leaves out its time of start.
+TEST_CASE("a list without a time of start is not taken for a restart") {
+  // The times of start in the lists that follow, and whether the upstream started again.
+  const std::vector<std::pair<std::vector<WallTimeMs>, bool>> cases = {
+      {{0, 0, 0}, false},       {{500, 0, 500, 0}, false},  {{0, 500, 0, 500}, false},
+      {{500, 0, 900}, true},    {{500, 900}, true},         {{500, 0, 0, 400}, true},
+      {{500, 500, 500}, false}, {{0, 0, 500, 0, 900}, true}};
+  for (const auto& [starts, has_restarted] : cases) {
+    CAPTURE(starts.size());
+    const auto pool = MakePool();
+    ListedUpstream upstream = Listed("a", kNorth);
+    upstream.started_at = starts.front();
+    pool->SetList({upstream}, At(0));
+    pool->OnLeaving(UpstreamId("a"));
+    for (std::size_t reading = 1; reading < starts.size(); ++reading) {
+      upstream.started_at = starts[reading];
+      pool->SetList({upstream}, At(static_cast<double>(reading)));
+    }
+    const bool gets_work = PickAt(*pool, 60).status == PickStatus::kFound;
+    CHECK(gets_work == has_restarted);
+  }
+}
+
 TEST_CASE("an upstream that says it is leaving gets nothing until it starts again") {
   const auto pool = MakePool();
   ListedUpstream leaving = Listed("a", kNorth);
