--- a/test/platform/edge_test.cc
+++ b/test/platform/edge_test.cc
@@ -47,6 +47,40 @@
   CHECK_FALSE(odd.any_model);
 }
 
+// Guards against numbers near the ends of their types, which overflow in what is computed from
+// them.
+TEST_CASE("numbers beyond what is believed are cut") {
+  const gateway::EdgeProtocol edge = PlatformEdge();
+  const std::string huge[] = {"9223372036854775807", "9223372036854775808", "18446744073709551615"};
+  for (const std::string& number : huge) {
+    CAPTURE(number);
+    const gateway::CallMetadata call =
+        edge.read_call({"POST",
+                        "/",
+                        true,
+                        {{"X-Deadline-Ms", number},
+                         {"X-Token-Count", number + "," + number},
+                         {"X-Prompt-Prefix", "a:" + number + ",b:" + number}}});
+    CHECK(call.time_left == milliseconds(3'600'000));
+    CHECK(call.prompt_tokens == 1'000'000'000);
+    CHECK(call.max_output_tokens == 1'000'000'000);
+    REQUIRE(call.prompt.size() == 2);
+    CHECK(call.prompt[1].tokens == 1'000'000'000);
+    const gateway::AnswerMetadata answer =
+        edge.read_answer({200,
+                          true,
+                          {{"X-Cold-Ms", number},
+                           {"X-Instance-Load", number + "," + number + "," + number},
+                           {"Server-Limit", number},
+                           {"X-Confidence", number}}});
+    CHECK(answer.cold_left == milliseconds(604'800'000));
+    REQUIRE(answer.load);
+    CHECK(answer.load->running == 1'000'000);
+    CHECK(answer.requests_per_second == 1e12);
+    CHECK(answer.confidence == 1);
+  }
+}
+
 TEST_CASE("what only the system may set is never passed on from a caller") {
   const gateway::EdgeProtocol edge = PlatformEdge();
   gateway::AttemptParameters order;
