Control: a first start goes on whichever host is restarted during it

The control host whose address sorts first was killed before the group had formed, and came back with settings that say that this is no first start. No group was ever formed and nothing was served.

Cause: the restarted host waited to be added to a group that did not exist, and only the first voter by name forms one.

Change: a host writes down that it takes part in a first start, with the initial members, and goes on with it after a restart. The turn to form the group passes to the next voter by name after a second.

--- a/src/control/group_formation.cc
+++ b/src/control/group_formation.cc
@@ -1,6 +1,7 @@
 #include "control/group_formation.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "control/durable_file.h"
@@ -14,7 +15,10 @@
 constexpr Duration kRetryInterval = milliseconds(100);
 constexpr Duration kNoNextAttempt = std::chrono::hours(24);
 constexpr Duration kCallTimeout = seconds(1);
+/// How long the next voter by name waits for the one before it to coordinate.
+constexpr Duration kTakeOverDelay = seconds(1);
 constexpr const char* kFileName = "formation";
+constexpr const char* kFirstStartFileName = "first_start";
 constexpr char kFormedMark = 'F';
 constexpr char kAcceptedMark = 'A';
 
@@ -60,8 +64,28 @@
 
 std::string GroupFormation::Path() const { return this->options.data_folder + "/" + kFileName; }
 
-/// The initial members of a new group, observers included, sorted by name.
+Result<void> GroupFormation::LoadFirstStart() {
+  BOOST_LEAF_AUTO(content, ReadIfPresent(this->options.data_folder + "/" + kFirstStartFileName));
+  std::istringstream names(content);
+  for (std::string name; std::getline(names, name);) {
+    this->first_start.emplace_back(name);
+  }
+  return {};
+}
+
+Result<void> GroupFormation::SaveFirstStart() {
+  this->first_start = this->InitialMembers();
+  std::string names;
+  for (const NodeId& member : this->first_start) {
+    names += member.Value() + "\n";
+  }
+  return WriteDurably(this->options.data_folder, kFirstStartFileName, names);
+}
+
 std::vector<NodeId> GroupFormation::InitialMembers() const {
+  if (!this->first_start.empty()) {
+    return this->first_start;
+  }
   std::vector<NodeId> members = this->options.initial_members;
   if (members.empty()) {
     members.push_back(this->options.node);
@@ -77,10 +101,13 @@
 Result<void> GroupFormation::Start(const consensus::ReplicaId& own) {
   this->self = own;
   BOOST_LEAF_CHECK(this->LoadAccepted());
+  BOOST_LEAF_CHECK(this->LoadFirstStart());
   const std::vector<NodeId> members = this->InitialMembers();
   const bool listed = std::find(members.begin(), members.end(), own.node) != members.end();
-  // The others may still wait for a replica that has accepted a membership.
-  const bool waits_to_be_added = !this->accepted && (this->options.join || !listed);
+  // The others may still wait for a replica that has accepted a membership, or that was restarted
+  // before any was proposed.
+  const bool waits_to_be_added =
+      !this->accepted && this->first_start.empty() && (this->options.join || !listed);
   if (!this->replica.IsEmpty() || waits_to_be_added || !this->options.may_vote) {
     this->done = true;
     this->replica.Run();
@@ -92,6 +119,9 @@
     membership.voters = {own};
     return this->BootstrapAndRun(consensus::EncodeMembership(membership));
   }
+  if (this->first_start.empty()) {
+    BOOST_LEAF_CHECK(this->SaveFirstStart());
+  }
   this->thread = std::make_unique<PeriodicThread>([this] { return this->TryToForm(); });
   return {};
 }
@@ -199,11 +229,12 @@
   return false;
 }
 
-/// Forms the group if this replica is the first voter by name and every other voter accepts the
-/// membership. Observers among the initial members only have to answer.
+/// Forms the group if it is this replica's turn and every other voter accepts the membership.
+/// Observers among the initial members only have to answer.
 bool GroupFormation::FormAsCoordinator(const std::vector<net::FormReply>& replies) {
   const std::vector<NodeId> members = this->InitialMembers();
   if (replies.size() + 1 != members.size()) {
+    this->all_answered_at.reset();
     return false;
   }
   consensus::Membership membership;
@@ -214,7 +245,7 @@
     }
   }
   std::sort(membership.voters.begin(), membership.voters.end());
-  if (membership.voters.front() != this->self) {
+  if (!this->IsCoordinator(membership)) {
     return false;
   }
   std::string proposed = consensus::EncodeMembership(membership);
@@ -239,6 +270,18 @@
   return all && this->CompleteFormation(proposed);
 }
 
+/// A voter that was restarted may wait to be added to a group: then those after it by name would
+/// wait for it in vain. Two that coordinate at once propose the same membership, unless one of the
+/// data folders was lost in between; then none of the two is accepted by all.
+bool GroupFormation::IsCoordinator(const consensus::Membership& membership) {
+  const TimePoint now = this->clock.Now();
+  if (!this->all_answered_at) {
+    this->all_answered_at = now;
+  }
+  const auto own = std::find(membership.voters.begin(), membership.voters.end(), this->self);
+  return now - *this->all_answered_at >= (own - membership.voters.begin()) * kTakeOverDelay;
+}
+
 bool GroupFormation::CompleteFormation(const std::string& membership) {
   {
     const std::scoped_lock lock(this->mutex);
--- a/src/control/group_formation.h
+++ b/src/control/group_formation.h
@@ -16,10 +16,14 @@
 
 namespace masticrill::control {
 
-/// Forms a new group of replicas, once. A membership lists the identities of the data folders, so
-/// the first voter by name (the coordinator) collects these identities, asks each replica to accept
-/// the membership, and forms the group when all have accepted. A replica accepts one membership in
-/// the lifetime of its data folder, so two groups that share a replica can never form.
+/// Forms a new group of replicas, once. A membership lists the identities of the data folders, so a
+/// coordinator collects these identities, asks each replica to accept the membership, and forms the
+/// group when all have accepted. The first voter by name coordinates; if it does not, as after a
+/// restart, the next one does some time later. A replica accepts one membership in the lifetime of
+/// its data folder, so two groups that share a replica can never form.
+///
+/// A replica remembers in its data folder that it takes part in a first start, and goes on with it
+/// after a restart, whatever its settings say then.
 ///
 /// A replica whose peers already have a group without it runs as an empty replica and waits until
 /// it is added. Thread-safe; owns a thread while the group forms.
@@ -46,6 +50,10 @@
     bool formed = false;
   };
 
+  /// Reads, or writes, which members the group is formed of.
+  Result<void> LoadFirstStart();
+  Result<void> SaveFirstStart();
+  /// The initial members of a new group, observers included, sorted by name.
   std::vector<NodeId> InitialMembers() const;
   std::string Path() const;
   Result<void> LoadAccepted();
@@ -55,6 +63,8 @@
   std::vector<net::FormReply> QueryMembers(const std::string& membership);
   bool JoinExistingGroup(const std::vector<net::FormReply>& replies);
   bool FormAsCoordinator(const std::vector<net::FormReply>& replies);
+  /// Whether it is this replica's turn to coordinate. All initial members have answered.
+  bool IsCoordinator(const consensus::Membership& membership);
   Result<void> BootstrapAndRun(const std::string& membership);
   bool CompleteFormation(const std::string& membership);
 
@@ -65,6 +75,11 @@
   std::mutex mutex;
   std::optional<AcceptedMembership> accepted;
   std::atomic<bool> done = false;
+  /// The initial members of the first start in which this replica takes part; empty if it does not.
+  std::vector<NodeId> first_start;
+  SystemClock clock;
+  /// Since when all initial members have answered; used only by the thread.
+  std::optional<TimePoint> all_answered_at;
   /// Last logged error of each replica that did not answer; used only by the thread.
   std::map<NodeId, std::string> last_causes;
   std::unique_ptr<PeriodicThread> thread;
