--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -461,7 +461,9 @@
       {{0, 0, 0}, false},       {{500, 0, 500, 0}, false},  {{0, 500, 0, 500}, false},
       {{500, 0, 900}, true},    {{500, 900}, true},         {{500, 0, 0, 400}, true},
       {{500, 500, 500}, false}, {{0, 0, 500, 0, 900}, true}};
-  for (const auto& [starts, has_restarted] : cases) {
+  for (const auto& test_case : cases) {
+    const std::vector<WallTimeMs>& starts = test_case.first;
+    const bool has_restarted = test_case.second;
     CAPTURE(starts.size());
     const auto pool = MakePool();
     ListedUpstream upstream = Listed("a", kNorth);
