--- a/test/gateway/upstream_pool_test.cc
+++ b/test/gateway/upstream_pool_test.cc
@@ -30,6 +30,7 @@
   upstream.failure_domain = domain;
   upstream.version = VersionId(version);
   upstream.slots = 8;
+  upstream.started_at = 1;
   return upstream;
 }
 
