--- a/test/fakes/child_process.h
+++ b/test/fakes/child_process.h
@@ -78,6 +78,9 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
   }
 
+  /// 0 when it has ended or never began.
+  pid_t Pid() const { return this->pid; }
+
   /// What the process does now, or how it ended.
   std::string Describe() {
     if (this->pid <= 0) {
--- a/test/fakes/process_state.h
+++ b/test/fakes/process_state.h
@@ -24,6 +24,26 @@
   return text;
 }
 
+/// The most memory that the process has had resident, in KiB; 0 when it has ended.
+inline std::size_t PeakMemoryKb(pid_t process) {
+  std::ifstream status("/proc/" + std::to_string(process) + "/status");
+  for (std::string word; status >> word;) {
+    std::size_t kilobytes = 0;
+    if (word == "VmHWM:" && status >> kilobytes) {
+      return kilobytes;
+    }
+  }
+  return 0;
+}
+
+/// The descriptors that the process has open; 0 when it has ended.
+inline std::size_t OpenDescriptors(pid_t process) {
+  std::error_code error;
+  const std::filesystem::directory_iterator files("/proc/" + std::to_string(process) + "/fd",
+                                                  error);
+  return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 /// The stacks of all threads; empty where no debugger is installed or it may not attach.
 inline std::string StacksOf(pid_t process) {
   const std::string command =
