Bounds on what clients hold: heads, connections, descriptors, and requests to operators and readiness

Cause: an entry counted bodies over 16 KiB only. A head of 16 KiB in 4,000 fields took some 300 KB when it was parsed, heads and small bodies were not counted, neither the memory nor the descriptors of the settings bounded the connections, and a body that dripped held its thread for ever. The HTTP server for operators and readiness bounded each request and not their sum, and its library read a head without a limit of time; nine half request lines kept an entry from saying that it is ready.

Change: heads are counted as they are parsed. A process accepts as many connections as its memory and descriptors have room for (800 at 88 MB; sites have some hundred callers). While others wait for a thread or for room, the connection that has waited for its request for longest is given up, answered 503 with Retry-After where a part of a request has come; it has not run. A body must come at 1 KB a second after its first minute. The HTTP server reads heads and bodies itself, within a budget and times.

--- a/include/masticrill/common/buffer_budget.h
+++ b/include/masticrill/common/buffer_budget.h
@@ -15,14 +15,16 @@
 
 /// What a process buffers for its peers.
 enum class BufferKind {
+  kRequestHead,  // A caller's request line and header fields, also as they are parsed.
   kRequestBody,  // A caller's request, kept until its end.
   kAnswerHead,   // The unfinished head of an upstream's answer.
   kAnswerBody,   // An upstream's answer that is sent when it is complete.
   kEvent,        // The unfinished event at the end of a stream.
 };
 
-inline constexpr std::array kAllBufferKinds = {BufferKind::kRequestBody, BufferKind::kAnswerHead,
-                                               BufferKind::kAnswerBody, BufferKind::kEvent};
+inline constexpr std::array kAllBufferKinds = {BufferKind::kRequestHead, BufferKind::kRequestBody,
+                                               BufferKind::kAnswerHead, BufferKind::kAnswerBody,
+                                               BufferKind::kEvent};
 
 std::string_view ToString(BufferKind kind);
 
@@ -32,8 +34,10 @@
 /// the same owner that stay small, and for other owners. Thread-safe.
 class BufferBudget {
  public:
-  /// What every buffer may hold without being counted.
+  /// What every buffer may hold without being counted, but for heads of requests.
   static constexpr std::size_t kFreeBytes = std::size_t{16} << 10U;
+  /// The same for heads of requests, of which each connection has one.
+  static constexpr std::size_t kFreeHeadBytes = std::size_t{4} << 10U;
 
   explicit BufferBudget(std::size_t max_bytes) : max_bytes(max_bytes) {}
 
--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -108,6 +108,8 @@
   Duration change_bound = config::kLeaseLength;
   int max_rpc_connections = 1200;
   int max_http_connections = 64;
+  /// All that is held of operators' requests at the same time.
+  std::size_t max_http_bytes = std::size_t{64} << 20U;
   ControlTimings timings = {};
   routing::RolloutPlan rollout = {};
   /// Equal on all replicas of a group.
--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -100,7 +100,9 @@
   Duration renew_interval = milliseconds(500);
   /// Requests wait for the first lease only within this time after the start of the process.
   Duration first_lease_within = seconds(4);
+  /// Callers' connections that are served at a time, and accepted ones that may wait for a thread.
   int max_connections = 1500;
+  std::size_t max_waiting_connections = 512;
   /// After a stop was requested: how long new connections are still accepted, so that the load
   /// balancer can notice that this node is not ready; and when the process ends at the latest.
   Duration stop_accepting_after = milliseconds(2200);
--- a/include/masticrill/net/connection_acceptor.h
+++ b/include/masticrill/net/connection_acceptor.h
@@ -22,6 +22,8 @@
   /// Accepted connections that may wait for a thread; further ones are left to the system.
   std::size_t max_waiting = 0;
   int thread_stack_bytes = 0;
+  /// Called while a connection waits for a thread and none may be started; may end another one.
+  std::function<void()> on_full = {};
 };
 
 /// Accepts connections and serves each on a thread of its own; further ones wait for a thread. A
--- a/include/masticrill/net/http_message.h
+++ b/include/masticrill/net/http_message.h
@@ -42,6 +42,10 @@
 /// The position after the empty line that ends a head; npos while the head is incomplete.
 std::size_t FindHeadEnd(std::string_view bytes);
 
+/// The memory that a head of these bytes takes while it is parsed, the bytes themselves included:
+/// at most some hundred bytes for each field, however short.
+std::size_t ParsedHeadBytes(std::string_view block);
+
 /// Reads the block of start line and header fields, with the empty line at its end. Fails with
 /// kMalformedMessage.
 Result<RequestHead> ParseRequestHead(std::string_view block);
--- a/include/masticrill/net/http_server.h
+++ b/include/masticrill/net/http_server.h
@@ -70,12 +70,20 @@
   std::string address;
   int max_connections = 512;
   int max_queued_connections = 64;
+  std::size_t max_head_bytes = std::size_t{64} << 10U;
   std::size_t max_body_bytes = 4U << 20U;
+  /// All that is held of requests at the same time, see BufferBudget. A request that finds no room
+  /// is answered 503.
+  std::size_t max_buffered_bytes = std::size_t{64} << 20U;
+  /// All of a head must have come within this time, and each wait for the next bytes ends then.
   milliseconds read_timeout{15000};
   /// All of a body must have come within this time.
   milliseconds body_timeout{30000};
   /// How long a stop waits for the first request of a new connection.
   milliseconds first_request_timeout{2000};
+  /// While other connections wait for a thread, or a request for room, the one that has waited for
+  /// its request for longest, and for this long at least, is given up.
+  milliseconds min_read_time{500};
 };
 
 /// Serves HTTP/1.1 with one thread for each connection in use. A handler that throws gives its
--- a/include/masticrill/net/socket_stream.h
+++ b/include/masticrill/net/socket_stream.h
@@ -53,6 +53,8 @@
 
   /// Whether the peer has closed the connection. Does not wait; bytes that have arrived stay.
   bool PeerLeft() const;
+  /// Whether the peer has closed its side, also where bytes that it sent before are still unread.
+  bool PeerEnded() const;
   /// Whether bytes or the connection's end can be read without waiting.
   bool Readable() const;
 
@@ -61,6 +63,9 @@
   void FinishWriting(TimePoint deadline);
   /// Ends the connection. With `reset` the peer sees at once that it was cut.
   void Close(bool reset = false);
+  /// Lets reads end as if the peer had closed its side. May be called by another thread while the
+  /// stream exists and is not closed.
+  void StopReading();
   /// Ends both directions, so that an operation in progress fails. May be called by another thread
   /// while the stream exists and is not closed.
   void Interrupt();
--- a/src/common/buffer_budget.cc
+++ b/src/common/buffer_budget.cc
@@ -7,6 +7,7 @@
 /// are sound, heads and events small.
 constexpr std::size_t DivisorOf(BufferKind kind) {
   switch (kind) {
+    case BufferKind::kRequestHead:
     case BufferKind::kRequestBody:
     case BufferKind::kAnswerBody:
       return 1;
@@ -28,6 +29,8 @@
 
 std::string_view ToString(BufferKind kind) {
   switch (kind) {
+    case BufferKind::kRequestHead:
+      return "request_head";
     case BufferKind::kRequestBody:
       return "request_body";
     case BufferKind::kAnswerHead:
@@ -80,7 +83,10 @@
 }
 
 bool BufferShare::Resize(std::size_t bytes) {
-  const std::size_t next = Difference(bytes, BufferBudget::kFreeBytes);
+  const std::size_t free_bytes = this->kind == BufferKind::kRequestHead
+                                     ? BufferBudget::kFreeHeadBytes
+                                     : BufferBudget::kFreeBytes;
+  const std::size_t next = Difference(bytes, free_bytes);
   if (next == this->counted) {
     return true;
   }
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -167,7 +167,8 @@
   BOOST_LEAF_AUTO(http_started,
                   net::HttpServer::Start(
                       {.address = this->options.http_address,
-                       .max_connections = this->options.max_http_connections},
+                       .max_connections = this->options.max_http_connections,
+                       .max_buffered_bytes = this->options.max_http_bytes},
                       [this](const net::HttpRequest& request, net::HttpResponder& responder) {
                         responder.SendWhole(this->AnswerOperator(
                             request, [&responder] { return !responder.CallerLeft(); }));
--- a/src/control/storage_wait.cc
+++ b/src/control/storage_wait.cc
@@ -11,7 +11,9 @@
   BOOST_LEAF_AUTO(
       server,
       net::HttpServer::Start(
-          {.address = options.http_address, .max_connections = options.max_http_connections},
+          {.address = options.http_address,
+           .max_connections = options.max_http_connections,
+           .max_buffered_bytes = options.max_http_bytes},
           [](const net::HttpRequest&, net::HttpResponder& responder) {
             responder.SendWhole(
                 {503,
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -20,6 +20,11 @@
 constexpr Duration kLingerTime = milliseconds(500);
 /// The longest pause between two reads of a request's body.
 constexpr Duration kBodyTimeout = seconds(10);
+/// How long a body may take at any rate, and the least rate of one that takes longer.
+constexpr Duration kMinBodyTime = seconds(60);
+constexpr std::size_t kMinBodyBytesPerSecond = 1024;
+/// The owner of heads in the budget: whose they are is known when they have been read.
+constexpr const char* kHeadOwner = "heads";
 /// A Content-Length with fewer digits is that of a small body.
 constexpr std::size_t kLargeLengthDigits = 5;
 /// How much longer than `CallerLimits::idle_timeout` an idle connection is kept. Short, since
@@ -31,12 +36,12 @@
 CallerConnection::CallerConnection(net::SocketStream socket, std::function<CallerLimits()> limits,
                                    std::function<StopPhase()> phase,
                                    std::function<std::optional<TimePoint>()> answer_by,
-                                   BodyBudget bodies, Handler handler)
+                                   RequestBudget budget, Handler handler)
     : socket(std::move(socket)),
       limits(std::move(limits)),
       phase(std::move(phase)),
       answer_by(std::move(answer_by)),
-      bodies(std::move(bodies)),
+      budget(std::move(budget)),
       handler(std::move(handler)) {}
 
 void CallerConnection::Run() {
@@ -50,30 +55,51 @@
   this->socket.Close();
 }
 
-CallerConnection::NextStep CallerConnection::ServeNext() {
+struct CallerConnection::Arrival {
+  explicit Arrival(BufferBudget& buffers)
+      : head_share(buffers, BufferKind::kRequestHead, kHeadOwner) {}
+
+  net::RequestHead head;
+  std::string body;
+  TimePoint at;
+  /// Held until the request has ended, since it may have to be sent again.
+  BufferShare head_share;
+  std::optional<BufferShare> body_share;
+};
+
+std::optional<CallerConnection::NextStep> CallerConnection::ReadRequest(Arrival& arrival) {
+  const net::PendingReads::Registration reading(this->budget.reads, this->socket,
+                                                this->clock.Now());
   if (this->AwaitFirstByte(this->limits()) != ReadResult::kRead) {
     return NextStep::kCloseUnread;
   }
   // The connection may have waited for longer than a configuration lasts.
   const CallerLimits current = this->limits();
-  net::RequestHead head;
-  if (const ReadResult result = this->ReadHead(current, head); result != ReadResult::kRead) {
-    this->RefuseAndClose(result, true);
-    return NextStep::kFinishAnswer;
+  ReadResult result = this->ReadHead(current, arrival.head, arrival.head_share);
+  const bool in_header = result != ReadResult::kRead;
+  if (!in_header) {
+    arrival.at = this->clock.Now();
+    arrival.body_share.emplace(this->budget.buffers, BufferKind::kRequestBody,
+                               this->OwnerOf(arrival.head));
+    result = this->ReadBody(current, arrival.head, arrival.body, *arrival.body_share);
   }
-  const TimePoint arrived_at = this->clock.Now();
-  // Counted until the request has ended, since it may have to be sent again.
-  BufferShare held(this->bodies.buffers, BufferKind::kRequestBody, this->OwnerOf(head));
-  std::string body;
-  if (const ReadResult result = this->ReadBody(current, head, body, held);
-      result != ReadResult::kRead) {
-    this->RefuseAndClose(result, false);
-    return NextStep::kFinishAnswer;
+  if (result == ReadResult::kRead) {
+    return std::nullopt;
   }
+  this->RefuseAndClose(reading.GivenUp() ? ReadResult::kNoRoom : result, in_header);
+  return NextStep::kFinishAnswer;
+}
+
+CallerConnection::NextStep CallerConnection::ServeNext() {
+  Arrival arrival(this->budget.buffers);
+  if (const std::optional<NextStep> step = this->ReadRequest(arrival)) {
+    return *step;
+  }
+  const net::RequestHead& head = arrival.head;
   const bool keep_open =
       this->phase() == StopPhase::kServing && !net::WantsClose(head.headers, head.http_1_1);
   CallerStream caller(this->socket, head, keep_open);
-  this->handler(head, body, caller, arrived_at);
+  this->handler(head, arrival.body, caller, arrival.at);
   if (!caller.CanReuseConnection()) {
     return NextStep::kFinishAnswer;
   }
@@ -126,7 +152,7 @@
 }
 
 CallerConnection::ReadResult CallerConnection::ReadHead(const CallerLimits& current,
-                                                        net::RequestHead& head) {
+                                                        net::RequestHead& head, BufferShare& held) {
   const TimePoint read_by = this->clock.Now() + Duration(current.header_timeout);
   while (true) {
     const std::string_view bytes = this->socket.Buffered();
@@ -135,18 +161,12 @@
     if (size > current.max_header_bytes) {
       return ReadResult::kTooLarge;
     }
-    if (end != std::string_view::npos) {
-      const ReadResult result = HandleErrors(
-          [&]() -> Result<ReadResult> {
-            BOOST_LEAF_ASSIGN(head, net::ParseRequestHead(bytes.substr(0, end)));
-            return ReadResult::kRead;
-          },
-          [](const Error& error) {
-            kLog.Info("A request with a malformed header was refused.", {{"cause", error.message}});
-            return ReadResult::kMalformed;
-          });
-      this->socket.Consume(end);
-      return result;
+    const bool is_whole = end != std::string_view::npos;
+    if (!held.Resize(is_whole ? net::ParsedHeadBytes(bytes.substr(0, end)) : size)) {
+      return ReadResult::kNoRoom;
+    }
+    if (is_whole) {
+      return this->ParseHead(end, head);
     }
     if (const ReadResult filled = this->FillRequest(read_by); filled != ReadResult::kRead) {
       return filled;
@@ -154,11 +174,26 @@
   }
 }
 
+/// Parses a head of that size, which has arrived whole.
+CallerConnection::ReadResult CallerConnection::ParseHead(std::size_t size, net::RequestHead& head) {
+  const ReadResult result = HandleErrors(
+      [&]() -> Result<ReadResult> {
+        BOOST_LEAF_ASSIGN(head, net::ParseRequestHead(this->socket.Buffered().substr(0, size)));
+        return ReadResult::kRead;
+      },
+      [](const Error& error) {
+        kLog.Info("A request with a malformed header was refused.", {{"cause", error.message}});
+        return ReadResult::kMalformed;
+      });
+  this->socket.Consume(size);
+  return result;
+}
+
 std::string CallerConnection::OwnerOf(const net::RequestHead& head) const {
   const std::optional<std::string_view> length = head.Header("Content-Length");
   const bool may_be_large = head.Header("Transfer-Encoding").has_value() ||
                             (length && length->size() >= kLargeLengthDigits);
-  return may_be_large ? "team " + this->bodies.owner_of(head) : "";
+  return may_be_large ? "team " + this->budget.owner_of(head) : "";
 }
 
 CallerConnection::ReadResult CallerConnection::ReadBody(const CallerLimits& current,
@@ -189,6 +224,7 @@
   if (const auto expect = head.Header("Expect"); expect && !decoder.Done()) {
     this->socket.Write("HTTP/1.1 100 Continue\r\n\r\n", this->clock.Now() + kLingerTime);
   }
+  const TimePoint begin = this->clock.Now();
   while (true) {
     std::string_view bytes = this->socket.Buffered();
     const std::size_t before = bytes.size();
@@ -206,7 +242,10 @@
     if (decoder.Done()) {
       return ReadResult::kRead;
     }
-    if (const ReadResult filled = this->FillRequest(this->clock.Now() + kBodyTimeout);
+    const TimePoint read_by =
+        begin + kMinBodyTime + Duration(seconds(body.size() / kMinBodyBytesPerSecond));
+    if (const ReadResult filled =
+            this->FillRequest(std::min(read_by, this->clock.Now() + kBodyTimeout));
         filled != ReadResult::kRead) {
       return filled;
     }
@@ -244,9 +283,10 @@
       break;
     case ReadResult::kNoRoom:
       status = kUnavailable;
-      message =
-          "This node has no memory left for the body; the request has not run. Send it again.";
-      headers.push_back({"Retry-After", RetryAfterText(this->bodies.retry_after)});
+      message = "This node has no room for the request, which has not run. Send it again.";
+      headers.push_back({"Retry-After", RetryAfterText(this->budget.retry_after)});
+      // The next one may find room where nothing comes.
+      this->budget.reads.GiveUpOldest(this->clock.Now());
       break;
     case ReadResult::kRead:
     case ReadResult::kIdle:
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -11,6 +11,7 @@
 #include "masticrill/common/clock.h"
 #include "masticrill/gateway/route_table.h"
 #include "masticrill/net/http_message.h"
+#include "masticrill/net/pending_reads.h"
 #include "masticrill/net/socket_stream.h"
 
 namespace masticrill::gateway {
@@ -21,12 +22,14 @@
   using Handler = std::function<void(const net::RequestHead&, const std::string& body,
                                      CallerStream& caller, TimePoint arrived_at)>;
 
-  /// Where the bodies of requests are counted, and by whom: `owner_of` names the owner of a
-  /// request.
-  struct BodyBudget {
+  /// Where the heads and bodies of requests are counted, and by whom: `owner_of` names the owner of
+  /// a request.
+  struct RequestBudget {
     BufferBudget& buffers;
+    /// The connections whose requests have not come whole.
+    net::PendingReads& reads;
     std::function<std::string(const net::RequestHead&)> owner_of;
-    /// The Retry-After of a request whose body finds no room.
+    /// The Retry-After of a request that finds no room.
     milliseconds retry_after{0};
   };
 
@@ -34,7 +37,7 @@
   /// when every request must have its answer, if such a stop has begun.
   CallerConnection(net::SocketStream socket, std::function<CallerLimits()> limits,
                    std::function<StopPhase()> phase,
-                   std::function<std::optional<TimePoint>()> answer_by, BodyBudget bodies,
+                   std::function<std::optional<TimePoint>()> answer_by, RequestBudget budget,
                    Handler handler);
 
   /// Returns when the connection has ended.
@@ -60,11 +63,18 @@
     kCloseUnread,   // Nothing more is read: a request that comes now is seen to be unread.
   };
 
+  /// A request as it was read, and its parts in the budget.
+  struct Arrival;
+
   NextStep ServeNext();
+  /// Reads the next request. Absent once it has been read whole; what follows on the connection
+  /// otherwise.
+  std::optional<NextStep> ReadRequest(Arrival& arrival);
   /// Whether a part of the next request is here. Does not wait.
   bool HasArrived();
   ReadResult AwaitFirstByte(const CallerLimits& current);
-  ReadResult ReadHead(const CallerLimits& current, net::RequestHead& head);
+  ReadResult ReadHead(const CallerLimits& current, net::RequestHead& head, BufferShare& held);
+  ReadResult ParseHead(std::size_t size, net::RequestHead& head);
   /// The owner under whom the body is counted; empty for one that is too small to be counted.
   std::string OwnerOf(const net::RequestHead& head) const;
   ReadResult ReadBody(const CallerLimits& current, const net::RequestHead& head, std::string& body,
@@ -77,7 +87,7 @@
   std::function<CallerLimits()> limits;
   std::function<StopPhase()> phase;
   std::function<std::optional<TimePoint>()> answer_by;
-  BodyBudget bodies;
+  RequestBudget budget;
   Handler handler;
   SystemClock clock;
 };
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -21,6 +21,7 @@
 #include "masticrill/gateway/upstream_pool.h"
 #include "masticrill/net/connection_acceptor.h"
 #include "masticrill/net/http_server.h"
+#include "masticrill/net/pending_reads.h"
 #include "masticrill/net/traffic.h"
 #include "masticrill/node/control_link.h"
 #include "masticrill/node/lease_client.h"
@@ -30,10 +31,15 @@
 
 constexpr Logger kLog(LogPart::kGateway);
 constexpr int kThreadStackBytes = 128 * 1024;
-/// Accepted connections that may wait for a thread.
-constexpr std::size_t kMaxWaitingConnections = 512;
 constexpr int kIncarnationBytes = 8;
-constexpr int kStatusConnections = 8;
+/// Threads for the readiness check and the metrics, and further connections that may wait for one.
+constexpr int kStatusConnections = 16;
+/// A request to them that has not come whole in this time makes room for others.
+constexpr milliseconds kMinStatusReadTime{100};
+constexpr std::size_t kMaxStatusHeadBytes = std::size_t{16} << 10U;
+constexpr std::size_t kMaxStatusBytes = std::size_t{1} << 20U;
+/// The same for callers, whose links are slower.
+constexpr Duration kMinReadTime = milliseconds(500);
 /// Control hosts answer within milliseconds; after this time another one is asked.
 constexpr milliseconds kConnectTimeout{250};
 constexpr double kMsPerSecond = 1000;
@@ -95,6 +101,7 @@
              Random::FromSystem()),
         budgets(this->options.call),
         buffers(this->options.call.max_buffered_bytes),
+        reads(kMinReadTime),
         prompts([this] { this->leases->RenewSoon(); }),
         call_context{this->protocol,
                      this->options.call,
@@ -148,6 +155,8 @@
   UpstreamPool pool;
   RetryBudgets budgets;
   BufferBudget buffers;
+  /// The callers' connections whose requests have not come whole.
+  net::PendingReads reads;
   routing::EvidenceTable evidence;
   PromptGuard prompts;
   GatewayMetrics metrics;
@@ -222,21 +231,27 @@
 }
 
 Result<void> GatewayServer::State::StartServers() {
-  BOOST_LEAF_ASSIGN(this->acceptor, net::ConnectionAcceptor::Start(
-                                        {.address = this->options.caller_address,
-                                         .max_connections = this->options.max_connections,
-                                         .max_waiting = kMaxWaitingConnections,
-                                         .thread_stack_bytes = kThreadStackBytes},
-                                        [this](const Poco::Net::StreamSocket& accepted) {
-                                          this->Serve(accepted);
-                                        }));
   BOOST_LEAF_ASSIGN(
-      this->status_server,
-      net::HttpServer::Start(
-          {.address = this->options.status_address, .max_connections = kStatusConnections},
-          [this](const net::HttpRequest& request, net::HttpResponder& responder) {
-            responder.SendWhole(this->AnswerStatus(request));
-          }));
+      this->acceptor,
+      net::ConnectionAcceptor::Start(
+          {.address = this->options.caller_address,
+           .max_connections = this->options.max_connections,
+           .max_waiting = this->options.max_waiting_connections,
+           .thread_stack_bytes = kThreadStackBytes,
+           .on_full = [this] { this->reads.GiveUpOldest(this->clock.Now()); }},
+          [this](const Poco::Net::StreamSocket& accepted) { this->Serve(accepted); }));
+  BOOST_LEAF_ASSIGN(this->status_server,
+                    net::HttpServer::Start(
+                        {.address = this->options.status_address,
+                         .max_connections = kStatusConnections,
+                         .max_queued_connections = kStatusConnections,
+                         .max_head_bytes = kMaxStatusHeadBytes,
+                         .max_body_bytes = 0,
+                         .max_buffered_bytes = kMaxStatusBytes,
+                         .min_read_time = kMinStatusReadTime},
+                        [this](const net::HttpRequest& request, net::HttpResponder& responder) {
+                          responder.SendWhole(this->AnswerStatus(request));
+                        }));
   return {};
 }
 
@@ -406,7 +421,8 @@
     CallerConnection connection(
         net::SocketStream(socket), [this] { return this->Limits(); },
         [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
-        {this->buffers, [this](const net::RequestHead& head) { return this->TeamOf(head); },
+        {this->buffers, this->reads,
+         [this](const net::RequestHead& head) { return this->TeamOf(head); },
          this->options.call.retry_after},
         [this](const net::RequestHead& head, const std::string& body, CallerStream& caller,
                TimePoint arrived_at) { this->Handle(head, body, caller, arrived_at); });
@@ -486,6 +502,9 @@
                "Parts of prompts with which requests are refused.",
                static_cast<double>(this->prompts.BlockedCount(this->clock.Now())));
   WriteBuffers(writer, this->buffers);
+  writer.Counter("masticrill_gateway_reads_given_up_total",
+                 "Connections without a whole request that were given up for lack of room.",
+                 this->reads.GivenUpCount());
   writer.Counter("masticrill_log_lines_dropped_total",
                  "Log lines that were dropped because their reader was too slow.",
                  DroppedLogLines());
--- a/src/net/connection_acceptor.cc
+++ b/src/net/connection_acceptor.cc
@@ -43,6 +43,7 @@
 
   void Accept();
   bool HasRoom() const;
+  bool IsFull() const;
   Accepted AcceptNext(Duration patience);
   void Add(const Poco::Net::StreamSocket& socket);
   void StartWorkers();
@@ -68,6 +69,12 @@
 void ConnectionAcceptor::State::Accept() {
   std::unique_lock lock(this->mutex);
   while (!this->stopping) {
+    const bool is_full = this->IsFull();
+    lock.unlock();
+    if (is_full && this->options.on_full) {
+      this->options.on_full();
+    }
+    lock.lock();
     if (!this->HasRoom()) {
       this->changed.wait_for(lock, kAcceptInterval,
                              [this] { return this->stopping || this->HasRoom(); });
@@ -96,6 +103,11 @@
   return this->waiting.size() < std::max<std::size_t>(this->options.max_waiting, 1);
 }
 
+/// Whether a connection waits although every thread is in use. The caller holds the mutex.
+bool ConnectionAcceptor::State::IsFull() const {
+  return !this->waiting.empty() && this->open >= this->options.max_connections;
+}
+
 /// Accepts a connection if one comes within that time.
 ConnectionAcceptor::State::Accepted ConnectionAcceptor::State::AcceptNext(Duration patience) {
   try {
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -113,10 +113,15 @@
   return line;
 }
 
+std::size_t LineCount(std::string_view block) {
+  return static_cast<std::size_t>(std::count(block.begin(), block.end(), '\n'));
+}
+
 /// Reads the fields as they stand. POCO's own reader decodes encoded words in values and refuses
 /// values over 8 KiB, so what is passed on would differ from what came.
 Result<std::vector<HeaderField>> ReadFields(std::string_view block) {
   std::vector<HeaderField> fields;
+  fields.reserve(LineCount(block));
   while (const std::optional<std::string_view> line = TakeLine(block)) {
     if (line->empty() && block.empty()) {
       return fields;
@@ -155,6 +160,10 @@
   return end == std::string_view::npos ? end : end + kEmptyLine.size();
 }
 
+std::size_t ParsedHeadBytes(std::string_view block) {
+  return 2 * block.size() + LineCount(block) * sizeof(HeaderField);
+}
+
 Result<RequestHead> ParseRequestHead(std::string_view block) {
   const std::string_view line = TakeLine(block).value_or("");
   const std::size_t first = line.find(' ');
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -8,6 +8,7 @@
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
 
+#include <algorithm>
 #include <mutex>
 #include <set>
 
@@ -123,7 +124,7 @@
         std::make_unique<Poco::ThreadPool>(2, options.max_connections + 1, 60, kThreadStackBytes);
     Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
     params->setMaxThreads(options.max_connections);
-    params->setMaxQueued(kListenBacklog);
+    params->setMaxQueued(std::min(kListenBacklog, options.max_connections));
     state->server = std::make_unique<Poco::Net::TCPServer>(new ConnectionFactory(state->shared),
                                                            *state->pool, socket, params);
     state->server->start();
--- a/src/net/socket_stream.cc
+++ b/src/net/socket_stream.cc
@@ -18,6 +18,8 @@
 
 /// On the stack of each connection's thread, whose memory stays touched.
 constexpr std::size_t kReadBlockBytes = 4096;
+/// A larger buffer is freed when it has been consumed: connections outlast their requests.
+constexpr std::size_t kKeptBufferBytes = std::size_t{16} << 10U;
 
 int ToPollTimeout(TimePoint deadline) {
   const Duration left = deadline - SystemClock().Now();
@@ -170,7 +172,14 @@
   return std::string_view(this->state->buffer).substr(this->state->consumed);
 }
 
-void SocketStream::Consume(std::size_t count) { this->state->consumed += count; }
+void SocketStream::Consume(std::size_t count) {
+  this->state->consumed += count;
+  if (this->state->consumed == this->state->buffer.size() &&
+      this->state->buffer.capacity() > kKeptBufferBytes) {
+    this->state->buffer = std::string();
+    this->state->consumed = 0;
+  }
+}
 
 IoEnd SocketStream::Write(std::string_view data, TimePoint deadline, const SocketStream* watched,
                           bool stop_when_readable) {
@@ -249,6 +258,16 @@
   }
 }
 
+bool SocketStream::PeerEnded() const {
+  if (!this->state->open) {
+    return true;
+  }
+  pollfd descriptor{this->state->Descriptor(), POLLRDHUP, 0};
+  return ::poll(&descriptor, 1, 0) > 0;
+}
+
+void SocketStream::StopReading() { ::shutdown(this->state->Descriptor(), SHUT_RD); }
+
 void SocketStream::Interrupt() { ::shutdown(this->state->Descriptor(), SHUT_RDWR); }
 
 }  // namespace masticrill::net
--- a/test/common/buffer_budget_test.cc
+++ b/test/common/buffer_budget_test.cc
@@ -119,6 +119,18 @@
   CHECK(budget.HeldBytes(BufferKind::kRequestBody) == 0);
 }
 
+// Pattern: every connection holds a head that is as long as heads may be.
+TEST_CASE("heads of requests are counted from fewer bytes on than other buffers") {
+  BufferBudget budget(kMegabyte);
+  BufferShare head(budget, BufferKind::kRequestHead, "heads");
+  CHECK(head.Resize(BufferBudget::kFreeHeadBytes));
+  CHECK(budget.HeldBytes() == 0);
+  CHECK(head.Resize(BufferBudget::kFreeBytes));
+  CHECK(budget.HeldBytes(BufferKind::kRequestHead) ==
+        BufferBudget::kFreeBytes - BufferBudget::kFreeHeadBytes);
+  CHECK_FALSE(head.Resize(kMegabyte));
+}
+
 TEST_CASE("small buffers are never refused") {
   BufferBudget budget(0);
   BufferShare share(budget, BufferKind::kEvent, "service");
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -165,7 +165,7 @@
             return limits;
           },
           [this] { return this->phase.load(); }, [this] { return this->AnswerBy(); },
-          {this->buffers,
+          {this->buffers, this->reads,
            [this](const net::RequestHead& head) { return this->edge.read_call(head).key; },
            this->settings.retry_after},
           [this](const net::RequestHead& head, const std::string& body,
@@ -185,6 +185,7 @@
 
   gateway::CallSettings settings;
   BufferBudget buffers;
+  net::PendingReads reads{milliseconds(500)};
   std::atomic<gateway::StopPhase> phase = gateway::StopPhase::kServing;
   std::atomic<bool> lease_valid = true;
   /// How many of the next requests for the configuration find its lease lapsed.
--- a/test/gateway/caller_connection_test.cc
+++ b/test/gateway/caller_connection_test.cc
@@ -59,7 +59,8 @@
       CallerConnection connection(
           net::SocketStream(accepted), [] { return CallerLimits{}; }, phase,
           [] { return std::nullopt; },
-          {this->buffers, [](const net::RequestHead&) { return std::string(); }, milliseconds(100)},
+          {this->buffers, this->reads, [](const net::RequestHead&) { return std::string(); },
+           milliseconds(100)},
           [](const net::RequestHead&, const std::string&, CallerStream& stream, TimePoint) {
             stream.SendWhole(200, {}, "ok", SystemClock().Now() + seconds(10));
           });
@@ -84,6 +85,7 @@
 
  private:
   BufferBudget buffers{std::size_t{1} << 20U};
+  net::PendingReads reads{seconds(60)};
   Poco::Net::ServerSocket listener{Poco::Net::SocketAddress("127.0.0.1:0")};
   int observer = -1;
   std::thread thread;
--- a/test/platform/platform_settings_test.cc
+++ b/test/platform/platform_settings_test.cc
@@ -40,6 +40,31 @@
   return kGood.substr(0, begin) + line + kGood.substr(end);
 }
 
+// Pattern: a crowd of connections at a host with little memory, or few descriptors.
+TEST_CASE("the connections of an entry fit into its memory and its descriptors") {
+  constexpr ConnectionRoom kMost{1500, 512};
+  constexpr std::uint64_t kKept = 200;
+  PlatformSettings settings;
+  for (const std::uint64_t memory_mb : {24, 40, 88, 96, 110, 160, 220, 1000}) {
+    settings.memory_mb = memory_mb;
+    for (const std::uint64_t descriptors : {400, 500, 3075, 4100, 10250}) {
+      settings.max_descriptors = descriptors;
+      const ConnectionRoom room = CallerRoom(settings, kMost);
+      CHECK(2 * room.served + room.waiting <= descriptors - kKept);
+      CHECK(room.served >= 16);
+      CHECK(room.served <= kMost.served);
+      CHECK(room.waiting <= kMost.waiting);
+      const int for_control =
+          MessageConnections(settings, 1200) + OperatorConnections(settings, 64);
+      CHECK(static_cast<std::uint64_t>(for_control) <= descriptors - kKept);
+    }
+  }
+  settings.memory_mb = 88;
+  settings.max_descriptors = 0;
+  CHECK(CallerRoom(settings, kMost).served == 800);
+  CHECK(CallerRoom(settings, kMost).waiting == kMost.waiting);
+}
+
 TEST_CASE("what may be buffered follows the memory of a process, with what it needs taken off") {
   CHECK(BufferBytes(0) == 0);
   CHECK(BufferBytes(20) == 0);
