Choice of upstream: fast and slow upstreams get work by their speeds

Cause: the fourth figure of the load that an upstream reports, how long work takes on its machine now, was dropped, and all upstreams counted as equal.

Change: the figure is read; each upstream has a lasting factor, learned in small steps so that moments do not shift it, and a passing one for 300 ms after a report. The work ahead at an upstream and the request's own count by it. Nothing changes where the figure is not sent.

--- a/include/masticrill/gateway/edge_protocol.h
+++ b/include/masticrill/gateway/edge_protocol.h
@@ -66,6 +66,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// How long work takes on the upstream's machine now, as a multiple of the usual time; absent
+  /// where the upstream does not say.
+  std::optional<double> slowdown = {};
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/include/masticrill/gateway/upstream_choice.h
+++ b/include/masticrill/gateway/upstream_choice.h
@@ -39,6 +39,8 @@
   double load = 0;
   /// Whether the upstream is in the failure domain of this host.
   bool local = false;
+  /// How long work takes there, as a multiple of the usual time.
+  double slowdown = 1;
 
   friend bool operator==(const Candidate&, const Candidate&) = default;
 };
--- a/include/masticrill/gateway/upstream_pool.h
+++ b/include/masticrill/gateway/upstream_pool.h
@@ -19,6 +19,7 @@
 #include "masticrill/gateway/route_table.h"
 #include "masticrill/gateway/upstream_choice.h"
 #include "masticrill/gateway/upstream_list.h"
+#include "masticrill/gateway/upstream_speed.h"
 #include "masticrill/routing/health.h"
 #include "masticrill/routing/service_rollout.h"
 
@@ -231,6 +232,7 @@
     routing::UpstreamHealth health;
     LoadReport report;
     TimePoint reported_at;
+    UpstreamSpeed speed;
     TimePoint cold_until;
     /// The last turn that this entry has used while the upstream was cold; -1 for none.
     std::int64_t last_cold_turn = -1;
--- a/src/gateway/upstream_choice.cc
+++ b/src/gateway/upstream_choice.cc
@@ -69,7 +69,8 @@
     const double added = work.own + work.shared * recompute_share;
     const double remote_cost = candidate.local ? 0 : work.remote_cost;
     const double cost =
-        candidate.load + added + work.recompute_cost * recompute_share + remote_cost;
+        (candidate.load + added + work.recompute_cost * recompute_share) * candidate.slowdown +
+        remote_cost;
     if (!best.index || cost < best_cost) {
       ties = 1;
     } else if (cost == best_cost) {
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -92,6 +92,7 @@
   const milliseconds cold = service == nullptr ? milliseconds(0) : service->cold_start.duration;
   member.cold_until = std::max(member.cold_until, now + Duration(cold));
   member.health.OnRestart(now);
+  member.speed = {};
   member.address_taken_until = TimePoint();
   member.says_leaving = false;
   member.paused_until = TimePoint();
@@ -289,7 +290,8 @@
   std::vector<Candidate> candidates;
   for (const Member* member : found) {
     candidates.push_back({member->listed.id, this->EstimatedLoad(*member, now),
-                          member->listed.failure_domain == this->settings.own_domain});
+                          member->listed.failure_domain == this->settings.own_domain,
+                          member->speed.Slowdown(now)});
   }
   const UpstreamDecision decision = ChooseUpstream(candidates, query.affinity_key, query.work,
                                                    this->settings.choice, this->random);
@@ -374,6 +376,9 @@
   const std::scoped_lock lock(this->mutex);
   if (const auto found = this->members.find(upstream); found != this->members.end()) {
     found->second.report = report;
+    if (report.slowdown) {
+      found->second.speed.OnReport(*report.slowdown, now);
+    }
     found->second.reported_at = now;
   }
 }
--- a/test/platform/edge_test.cc
+++ b/test/platform/edge_test.cc
@@ -183,6 +183,17 @@
   CHECK(facts(200, {{"X-Response-Signature", "s"}}).is_signed);
   CHECK(facts(200, {{"X-Request-Id", "r"}}).request == RequestId("r"));
   CHECK(facts(200, {{"X-Instance-Load", "3,0,8"}}).load == gateway::LoadReport{3, 0, 8});
+  const auto load = [&](const std::string& text) {
+    return facts(200, {{"X-Instance-Load", text}}).load;
+  };
+  CHECK(load("3,0,8,55") == gateway::LoadReport{3, 0, 8, 0.55});
+  CHECK(load("3,0,8,300,9")->slowdown == doctest::Approx(3));
+  for (const std::string_view absurd :
+       {"3,0,8,", "3,0,8,0", "3,0,8,-5", "3,0,8,fast", "3,0,8,1.5"}) {
+    CAPTURE(absurd);
+    REQUIRE(load(std::string(absurd)));
+    CHECK_FALSE(load(std::string(absurd))->slowdown);
+  }
   CHECK_FALSE(facts(200, {{"X-Instance-Load", "3,x"}}).load);
   CHECK(facts(200, {{"X-Confidence", "40"}}).confidence == doctest::Approx(0.4));
   CHECK_FALSE(facts(200, {{"X-Confidence", "very"}}).confidence);
