Gateways: patient requests give way while answers begin late

Cause: engines process the prompts of all requests in the order in which they came, whatever their priority. In a burst of long prompts the most urgent requests began as late as the least urgent ones (median 740 ms of a target of 1,000), and second steps of long cascades, 190 ms of an engine each, went on, since their lateness was a mean over kinds with long targets.

Change: where a configuration has urgent streams beside less urgent ones with twice their latency target, lateness is measured against the urgent target; patient requests stay at the entry for at most 0.6 of their target while answers begin late, and then go one for each answer that begins; second steps of less urgent requests stop first, and none is made that would begin after its target. Prompts for cheap models count as a third of a strong one's work there. The end of a request is logged with what its upstream said of its load and how long it was held back; lateness and held requests are metrics.

--- a/include/masticrill/gateway/gateway_settings.h
+++ b/include/masticrill/gateway/gateway_settings.h
@@ -73,6 +73,9 @@
   /// the strongest model.
   double remote_penalty = 0.05;
   double remote_tokens_per_kilobyte = 25;
+  /// The least work of a prompt token relative to the strongest model's: engines process prompts
+  /// for cheap models less than proportionally faster.
+  double min_prompt_weight = 0.33;
   /// An answer whose confidence, from 0 to 1, is lower is discarded for a stronger model's. Indexed
   /// by the rank of the request's route; the last value holds for all further ranks. The targets
   /// are higher for important routes, whose answers justify the cost of a strong model more often.
--- a/include/masticrill/gateway/route_table.h
+++ b/include/masticrill/gateway/route_table.h
@@ -80,6 +80,14 @@
   friend bool operator==(const ColdStartLimit&, const ColdStartLimit&) = default;
 };
 
+/// The most urgent requests of a service, where others can wait for much longer.
+struct UrgentRequests {
+  std::uint32_t rank = 0;
+  milliseconds latency_target{0};
+
+  friend bool operator==(const UrgentRequests&, const UrgentRequests&) = default;
+};
+
 /// What operators declare about the upstreams of a service.
 struct DeclaredService {
   ServiceId id;
@@ -92,10 +100,17 @@
   std::uint32_t tokens_per_event = 1;
   /// The cost per token of each model; the unit is arbitrary but the same for all.
   std::map<ModelId, double> model_costs;
+  /// Set by IndexRoutes; absent where no requests are more urgent and others patient.
+  std::optional<UrgentRequests> urgent = {};
 
   /// The cost of a model divided by that of the most expensive one: above 0 and at most 1; 1 for a
   /// model without a known cost.
   double RelativeCost(const ModelId& model) const;
+  /// Whether requests of the route are among the most urgent ones.
+  bool IsUrgent(const Route& route) const;
+  /// Whether requests of the route give way to the most urgent ones, whose callers expect an answer
+  /// in half of the time or less.
+  bool IsPatient(const Route& route) const;
 
   friend bool operator==(const DeclaredService&, const DeclaredService&) = default;
 };
--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -85,8 +85,9 @@
     return this->RetryOrRefuse(attempt, AttemptEnd::kBroken, RefusalKind::kAnswerInterrupted);
   }
   if (IsSuccess(status)) {
-    this->context.lateness.Add(this->service, attempt.AnswerLatency(), this->route->latency_target,
+    this->context.lateness.Add(this->service, attempt.AnswerLatency(), this->LatenessTarget(),
                                this->clock.Now());
+    this->context.patience.OnAnswerStart(this->service);
     this->RecordFirstToken(attempt);
     this->RecordConfidence();
   }
@@ -128,7 +129,7 @@
   const auto& targets = this->context.settings.confidence_targets;
   return ConfidenceTargetUnderLoad(
       targets.at(std::min<std::size_t>(this->route->rank, targets.size() - 1)),
-      this->context.lateness.Read(this->service, this->clock.Now()));
+      LatenessForSecondStep(this->UrgencyOf(*this->route), this->Lateness()));
 }
 
 /// Whether the answer, of which the caller has received nothing yet, is discarded for a stronger
@@ -139,6 +140,11 @@
       !confidence || *confidence >= this->ConfidenceTarget()) {
     return false;
   }
+  const std::chrono::duration<double> expected = this->LatenessTarget() * this->Lateness();
+  if (this->UrgencyOf(*this->route) != Urgency::kAlike &&
+      this->clock.Now() + duration_cast<Duration>(expected) > this->LatencyBound(1)) {
+    return false;
+  }
   // A further run like any other: not for a request that must not run twice.
   return this->TakeRetry(routing::HandOverState::kMayHaveRun, this->attempts).retry;
 }
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -288,10 +288,12 @@
 
 WorkEstimate CallRunner::EstimateWork() const {
   const CallSettings& settings = this->context.settings;
-  const double weight = this->ModelWeight();
-  if (weight == 0) {
+  const double cost_weight = this->ModelWeight();
+  if (cost_weight == 0) {
     return {0, 1, 0, settings.remote_penalty};
   }
+  const double weight =
+      this->Declared()->urgent ? std::max(cost_weight, settings.min_prompt_weight) : cost_weight;
   double shared_parts = 0;
   double shared = 0;
   for (std::size_t index = 0; index + 1 < this->metadata.prompt.size(); ++index) {
@@ -317,6 +319,54 @@
                           static_cast<double>(this->metadata.prompt_tokens));
 }
 
+const DeclaredService* CallRunner::Declared() const {
+  return this->view->table->FindService(this->service);
+}
+
+Urgency CallRunner::UrgencyOf(const Route& of) const {
+  const DeclaredService* declared = this->Declared();
+  if (declared == nullptr || !declared->urgent) {
+    return Urgency::kAlike;
+  }
+  if (declared->IsPatient(of)) {
+    return Urgency::kPatient;
+  }
+  return declared->IsUrgent(of) ? Urgency::kUrgent : Urgency::kOrdinary;
+}
+
+milliseconds CallRunner::LatenessTarget() const {
+  const DeclaredService* declared = this->Declared();
+  return declared != nullptr && declared->urgent ? declared->urgent->latency_target
+                                                 : this->route->latency_target;
+}
+
+double CallRunner::Lateness() const {
+  return this->context.lateness.Read(this->service, this->clock.Now());
+}
+
+bool CallRunner::AwaitTurn() {
+  constexpr Duration kCheck = milliseconds(40);
+  if (this->UrgencyOf(*this->route) != Urgency::kPatient || this->attempts > 0) {
+    return true;
+  }
+  const TimePoint begin = this->clock.Now();
+  while (this->clock.Now() < this->WaitUntil() &&
+         !this->context.patience.MayStart(this->service, this->arrived_at,
+                                          this->route->latency_target, this->Lateness(),
+                                          this->clock.Now())) {
+    if (this->caller.Socket().PeerLeft()) {
+      this->Cancel();
+      return false;
+    }
+    Pause(kCheck);
+  }
+  if (this->clock.Now() - begin >= kCheck) {
+    this->held_back = this->clock.Now() - begin;
+    this->context.patience.CountHeldBack();
+  }
+  return true;
+}
+
 UpstreamQuery CallRunner::MakeQuery() const {
   return {this->service, this->tried, this->route->sticky ? SharedPart(this->metadata.prompt) : "",
           this->EstimateWork(), this->SessionKey()};
@@ -454,6 +504,9 @@
     return NextStep::kStop;
   }
   if (this->next == nullptr) {
+    if (!this->AwaitTurn()) {
+      return NextStep::kStop;
+    }
     const std::optional<UpstreamPick> pick = this->FindUpstream();
     if (!pick) {
       return NextStep::kStop;
@@ -497,6 +550,7 @@
     this->context.evidence.EndWait(wait);
   }
   this->last_attempt_end = ToString(end);
+  this->last_load = attempt.Metadata().load.value_or(LoadReport{});
   this->context.metrics.pauses += attempt.Metadata().pause ? 1 : 0;
   this->context.metrics.limited_answers += attempt.Metadata().requests_per_second ? 1 : 0;
   // If another upstream has taken over the address and rejected the request, the request has not
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -24,6 +24,7 @@
 #include "masticrill/gateway/event_splitter.h"
 #include "masticrill/gateway/gateway_settings.h"
 #include "masticrill/gateway/gateway_view.h"
+#include "masticrill/gateway/patience.h"
 #include "masticrill/gateway/prompt_guard.h"
 #include "masticrill/gateway/stream_pace.h"
 #include "masticrill/gateway/upstream_pool.h"
@@ -57,6 +58,7 @@
   GatewayMetrics& metrics;
   StreamPace& pace;
   AnswerLateness& lateness;
+  PatienceGate& patience;
   ModelConfidence& model_confidence;
   /// The configuration in force and its lease; null while there is none.
   std::function<GatewayViewPtr()> view;
@@ -118,6 +120,15 @@
   bool PrepareEscalation();
   /// Whether the newest configuration, a planned stop and the prompt allow a hand-over now.
   bool MayHandOver();
+  /// The service's entry in the configuration; null where there is none.
+  const DeclaredService* Declared() const;
+  Urgency UrgencyOf(const Route& of) const;
+  /// The time to the start of an answer with which lateness is compared: the urgent requests'
+  /// target, since an engine delays all alike.
+  milliseconds LatenessTarget() const;
+  double Lateness() const;
+  /// Holds a patient request back while answers begin late. False when its caller has left.
+  bool AwaitTurn();
   /// Chooses an upstream and connects to it; `next` is then set.
   bool ConnectNext();
   /// The same with one upstream. Sets `refused` where nothing listens at its address, which the
@@ -204,10 +215,14 @@
   EventSplitter events;
   UpstreamPick last_pick;
   std::string last_attempt_end;
+  /// What the upstream of the last attempt said of its load; empty where it did not.
+  LoadReport last_load;
   /// Of the last answer that began, and of the last one that was discarded for a stronger model's.
   std::optional<double> confidence;
   std::optional<double> discarded_confidence;
   std::optional<Duration> first_byte;
+  /// How long the request was held back at this entry.
+  Duration held_back{0};
   TimePoint stream_begun_at;
   /// Of the answer with which the stream began.
   int stream_status = 0;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -113,6 +113,7 @@
                      this->metrics,
                      this->pace,
                      this->lateness,
+                     this->patience,
                      this->model_confidence,
                      [this] { return this->View(); },
                      [this](TimePoint until) { this->AwaitLease(until); },
@@ -147,6 +148,8 @@
   /// Logs and counts the requests that the end of this process cuts off.
   void RecordCutRequests();
   std::string MetricsText() const;
+  /// Writes how late the answers of services begin that have urgent requests beside patient ones.
+  void WriteUrgency(MetricsWriter& writer) const;
   net::HttpAnswer AnswerStatus(const net::HttpRequest& request) const;
 
   GatewayOptions options;
@@ -164,6 +167,7 @@
   ActiveCalls active;
   StreamPace pace;
   AnswerLateness lateness;
+  PatienceGate patience;
   ModelConfidence model_confidence;
   CallContext call_context;
   TimePoint started_at;
@@ -469,6 +473,23 @@
   }
 }
 
+void GatewayServer::State::WriteUrgency(MetricsWriter& writer) const {
+  writer.Header("masticrill_gateway_lateness",
+                "Mean time to the start of an answer, as a share of the urgent requests' target.",
+                "gauge");
+  if (const GatewayViewPtr current = this->View(); current != nullptr) {
+    for (const auto& [id, service] : current->table->services) {
+      if (service.urgent) {
+        writer.Labelled("masticrill_gateway_lateness", "service", id.Value(),
+                        this->lateness.Read(id, this->clock.Now()));
+      }
+    }
+  }
+  writer.Counter("masticrill_gateway_held_back_total",
+                 "Patient requests that were held back while answers began late.",
+                 this->patience.HeldBackCount());
+}
+
 std::string GatewayServer::State::MetricsText() const {
   const GatewayViewPtr current = this->View();
   MetricsWriter writer;
@@ -498,6 +519,7 @@
   writer.Gauge("masticrill_gateway_paused_upstreams",
                "Upstreams that have asked this node for a pause which has not ended.",
                static_cast<double>(this->pool.PausedCount(this->clock.Now())));
+  this->WriteUrgency(writer);
   writer.Gauge("masticrill_gateway_blocked_prompt_parts",
                "Parts of prompts with which requests are refused.",
                static_cast<double>(this->prompts.BlockedCount(this->clock.Now())));
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -25,6 +25,16 @@
   return found == this->model_costs.end() || found->second <= 0 ? 1 : found->second / highest_cost;
 }
 
+bool DeclaredService::IsUrgent(const Route& route) const {
+  return this->urgent && route.rank <= this->urgent->rank &&
+         route.latency_target <= this->urgent->latency_target;
+}
+
+bool DeclaredService::IsPatient(const Route& route) const {
+  return this->urgent && route.rank > this->urgent->rank &&
+         route.latency_target >= 2 * this->urgent->latency_target;
+}
+
 const Route* RouteTable::FindRoute(std::string_view host, std::string_view path) const {
   const auto found = this->routes_by_host.find(NormalizedHost(host));
   if (found == this->routes_by_host.end()) {
@@ -51,7 +61,48 @@
   return found == this->services.end() ? nullptr : &found->second;
 }
 
+namespace {
+
+std::vector<const Route*> StreamsOf(const RouteTable& table, const ServiceId& service) {
+  std::vector<const Route*> streams;
+  for (const auto& [id, route] : table.routes) {
+    const bool leads_there =
+        std::any_of(route.targets.begin(), route.targets.end(),
+                    [&](const RouteTarget& target) { return target.service == service; });
+    if (leads_there && route.kind == RouteKind::kStream) {
+      streams.push_back(&route);
+    }
+  }
+  return streams;
+}
+
+/// Sets the most urgent requests of a model engine's service where others are patient.
+void SetUrgent(const RouteTable& table, DeclaredService& service) {
+  const std::vector<const Route*> streams = StreamsOf(table, service.id);
+  if (!service.is_engine || streams.empty()) {
+    return;
+  }
+  const Route& first =
+      **std::min_element(streams.begin(), streams.end(), [](const Route* left, const Route* right) {
+        return std::pair(left->rank, left->latency_target) <
+               std::pair(right->rank, right->latency_target);
+      });
+  service.urgent = UrgentRequests{first.rank, first.latency_target};
+  const bool has_patient = std::any_of(streams.begin(), streams.end(), [&](const Route* route) {
+    return service.IsPatient(*route);
+  });
+  if (!has_patient) {
+    service.urgent.reset();
+  }
+}
+
+}  // namespace
+
 void IndexRoutes(RouteTable& table) {
+  for (auto& [id, service] : table.services) {
+    service.urgent.reset();
+    SetUrgent(table, service);
+  }
   table.routes_by_host.clear();
   for (const auto& [id, route] : table.routes) {
     table.routes_by_host[NormalizedHost(route.host)].emplace(route.path_prefix, id);
--- a/test/fakes/gateway_caller.h
+++ b/test/fakes/gateway_caller.h
@@ -203,6 +203,7 @@
   gateway::ActiveCalls active;
   gateway::StreamPace pace;
   gateway::AnswerLateness lateness;
+  gateway::PatienceGate patience;
   gateway::ModelConfidence model_confidence;
   routing::EvidenceTable evidence;
   gateway::PromptGuard prompts;
@@ -248,6 +249,7 @@
       metrics,
       pace,
       lateness,
+      patience,
       model_confidence,
       [this] {
         return std::make_shared<const gateway::GatewayView>(gateway::GatewayView{
--- a/test/gateway/route_table_test.cc
+++ b/test/gateway/route_table_test.cc
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace masticrill::gateway {
 namespace {
 
@@ -53,5 +57,43 @@
   CHECK(table.FindRoute("a.EXAMPLE:8080", "/") != nullptr);
 }
 
+/// A table with one engine service and streams of the given ranks and latency targets in ms.
+RouteTable StreamsOf(const std::vector<std::pair<std::uint32_t, int>>& streams, bool is_engine) {
+  const ServiceId service("s");
+  RouteTable table;
+  table.services[service] = {service, 0, {}, is_engine, 1, {}};
+  for (const auto& [rank, target_ms] : streams) {
+    Route route;
+    route.id = RouteId("r" + std::to_string(table.routes.size()));
+    route.kind = RouteKind::kStream;
+    route.rank = rank;
+    route.latency_target = milliseconds(target_ms);
+    route.targets = {{service, 1}};
+    table.routes.emplace(route.id, route);
+  }
+  IndexRoutes(table);
+  return table;
+}
+
+TEST_CASE("requests of a service are told apart where urgent ones stand beside patient ones") {
+  const RouteTable table = StreamsOf({{0, 1000}, {1, 1000}, {2, 4000}}, true);
+  const DeclaredService& service = *table.FindService(ServiceId("s"));
+  REQUIRE(service.urgent);
+  CHECK(service.urgent == UrgentRequests{0, milliseconds(1000)});
+  CHECK(service.IsUrgent(table.routes.at(RouteId("r0"))));
+  CHECK_FALSE(service.IsUrgent(table.routes.at(RouteId("r1"))));
+  CHECK_FALSE(service.IsPatient(table.routes.at(RouteId("r1"))));
+  CHECK(service.IsPatient(table.routes.at(RouteId("r2"))));
+}
+
+TEST_CASE("requests of a service are not told apart where none can wait for longer") {
+  const std::vector<std::pair<std::uint32_t, int>> cases[] = {
+      {}, {{0, 1000}}, {{0, 1500}, {1, 2000}}, {{0, 4000}, {1, 1000}}, {{1, 1000}, {1, 4000}}};
+  for (const auto& streams : cases) {
+    CHECK_FALSE(StreamsOf(streams, true).FindService(ServiceId("s"))->urgent);
+  }
+  CHECK_FALSE(StreamsOf({{0, 1000}, {1, 4000}}, false).FindService(ServiceId("s"))->urgent);
+}
+
 }  // namespace
 }  // namespace masticrill::gateway
