--- a/include/masticrill/gateway/route_table.h
+++ b/include/masticrill/gateway/route_table.h
@@ -109,7 +109,7 @@
   /// Whether requests of the route are among the most urgent ones.
   bool IsUrgent(const Route& route) const;
   /// Whether requests of the route give way to the most urgent ones, whose callers expect an answer
-  /// in half of the time or less.
+  /// in half of the time or less, and seconds earlier.
   bool IsPatient(const Route& route) const;
 
   friend bool operator==(const DeclaredService&, const DeclaredService&) = default;
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -6,6 +6,10 @@
 namespace masticrill::gateway {
 namespace {
 
+/// How much longer than an urgent request a patient one can wait at least: the time in which late
+/// answers show and the requests that were held back pass.
+constexpr milliseconds kMinPatience{2000};
+
 /// A host name in lower case and without its port.
 std::string NormalizedHost(std::string_view host) {
   std::string name(host.substr(0, host.rfind(':')));
@@ -32,7 +36,8 @@
 
 bool DeclaredService::IsPatient(const Route& route) const {
   return this->urgent && route.rank > this->urgent->rank &&
-         route.latency_target >= 2 * this->urgent->latency_target;
+         route.latency_target >= 2 * this->urgent->latency_target &&
+         route.latency_target - this->urgent->latency_target >= kMinPatience;
 }
 
 const Route* RouteTable::FindRoute(std::string_view host, std::string_view path) const {
--- a/test/gateway/route_table_test.cc
+++ b/test/gateway/route_table_test.cc
@@ -87,8 +87,13 @@
 }
 
 TEST_CASE("requests of a service are not told apart where none can wait for longer") {
-  const std::vector<std::pair<std::uint32_t, int>> cases[] = {
-      {}, {{0, 1000}}, {{0, 1500}, {1, 2000}}, {{0, 4000}, {1, 1000}}, {{1, 1000}, {1, 4000}}};
+  const std::vector<std::pair<std::uint32_t, int>> cases[] = {{},
+                                                              {{0, 1000}},
+                                                              {{0, 1500}, {1, 2000}},
+                                                              {{0, 1000}, {1, 2000}},
+                                                              {{0, 1500}, {1, 3000}},
+                                                              {{0, 4000}, {1, 1000}},
+                                                              {{1, 1000}, {1, 4000}}};
   for (const auto& streams : cases) {
     CHECK_FALSE(StreamsOf(streams, true).FindService(ServiceId("s"))->urgent);
   }
