Connections that are given up: a request that has just come whole is refused, not lost

Cause (found by reading): a connection could be given up between the last byte of its request and the end of its registration. Reads from it end then, which looks like a caller that has left, and the accepted request would be cancelled without an answer.

Change: the registration ends under the lock and says whether the connection was given up; such a request is answered 503 and has not run.

--- a/include/masticrill/net/pending_reads.h
+++ b/include/masticrill/net/pending_reads.h
@@ -27,8 +27,9 @@
     Registration(const Registration&) = delete;
     Registration& operator=(const Registration&) = delete;
 
-    /// Whether the connection was given up: reads from it end as if its peer had closed it.
-    bool GivenUp() const { return this->given_up; }
+    /// Ends the registration. Returns whether the connection was given up: reads from it end then
+    /// as if its peer had closed it.
+    bool Finish();
 
    private:
     friend class PendingReads;
@@ -36,7 +37,9 @@
     PendingReads& reads;
     SocketStream& stream;
     TimePoint since;
-    std::atomic<bool> given_up = false;
+    /// Guarded by the mutex of `reads`.
+    bool given_up = false;
+    bool is_pending = true;
     std::list<Registration*>::iterator place;
   };
 
--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -129,7 +129,7 @@
   const auto& targets = this->context.settings.confidence_targets;
   return ConfidenceTargetUnderLoad(
       targets.at(std::min<std::size_t>(this->route->rank, targets.size() - 1)),
-      LatenessForSecondStep(this->UrgencyOf(*this->route), this->Lateness()));
+      LatenessForSecondStep(this->OwnUrgency(), this->Lateness()));
 }
 
 /// Whether the answer, of which the caller has received nothing yet, is discarded for a stronger
@@ -141,7 +141,7 @@
     return false;
   }
   const std::chrono::duration<double> expected = this->LatenessTarget() * this->Lateness();
-  if (this->UrgencyOf(*this->route) != Urgency::kAlike &&
+  if (this->OwnUrgency() != Urgency::kAlike &&
       this->clock.Now() + duration_cast<Duration>(expected) > this->LatencyBound(1)) {
     return false;
   }
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -323,15 +323,15 @@
   return this->view->table->FindService(this->service);
 }
 
-Urgency CallRunner::UrgencyOf(const Route& of) const {
+Urgency CallRunner::OwnUrgency() const {
   const DeclaredService* declared = this->Declared();
   if (declared == nullptr || !declared->urgent) {
     return Urgency::kAlike;
   }
-  if (declared->IsPatient(of)) {
+  if (declared->IsPatient(*this->route)) {
     return Urgency::kPatient;
   }
-  return declared->IsUrgent(of) ? Urgency::kUrgent : Urgency::kOrdinary;
+  return declared->IsUrgent(*this->route) ? Urgency::kUrgent : Urgency::kOrdinary;
 }
 
 milliseconds CallRunner::LatenessTarget() const {
@@ -346,7 +346,7 @@
 
 bool CallRunner::AwaitTurn() {
   constexpr Duration kCheck = milliseconds(40);
-  if (this->UrgencyOf(*this->route) != Urgency::kPatient || this->attempts > 0) {
+  if (this->OwnUrgency() != Urgency::kPatient || this->attempts > 0) {
     return true;
   }
   const TimePoint begin = this->clock.Now();
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -122,7 +122,7 @@
   bool MayHandOver();
   /// The service's entry in the configuration; null where there is none.
   const DeclaredService* Declared() const;
-  Urgency UrgencyOf(const Route& of) const;
+  Urgency OwnUrgency() const;
   /// The time to the start of an answer with which lateness is compared: the urgent requests'
   /// target, since an engine delays all alike.
   milliseconds LatenessTarget() const;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -68,8 +68,7 @@
 };
 
 std::optional<CallerConnection::NextStep> CallerConnection::ReadRequest(Arrival& arrival) {
-  const net::PendingReads::Registration reading(this->budget.reads, this->socket,
-                                                this->clock.Now());
+  net::PendingReads::Registration reading(this->budget.reads, this->socket, this->clock.Now());
   if (this->AwaitFirstByte(this->limits()) != ReadResult::kRead) {
     return NextStep::kCloseUnread;
   }
@@ -83,10 +82,14 @@
                                this->OwnerOf(arrival.head));
     result = this->ReadBody(current, arrival.head, arrival.body, *arrival.body_share);
   }
+  // A request that has just come whole is refused, too: its caller could not be seen to leave.
+  if (reading.Finish()) {
+    result = ReadResult::kNoRoom;
+  }
   if (result == ReadResult::kRead) {
     return std::nullopt;
   }
-  this->RefuseAndClose(reading.GivenUp() ? ReadResult::kNoRoom : result, in_header);
+  this->RefuseAndClose(result, in_header);
   return NextStep::kFinishAnswer;
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -184,7 +184,7 @@
     BufferShare head_share(this->shared.buffers, BufferKind::kRequestHead, kCallers);
     BufferShare body_share(this->shared.buffers, BufferKind::kRequestBody, kCallers);
     {
-      const PendingReads::Registration reading(this->shared.reads, this->stream, this->since);
+      PendingReads::Registration reading(this->shared.reads, this->stream, this->since);
       if (!this->AwaitRequest()) {
         return false;
       }
@@ -192,7 +192,7 @@
       if (result == ReadResult::kRead) {
         result = this->ReadBody(head, request, body_share);
       }
-      if (reading.GivenUp()) {
+      if (reading.Finish()) {
         result = ReadResult::kNoRoom;
       }
       if (result != ReadResult::kRead) {
--- a/src/net/pending_reads.cc
+++ b/src/net/pending_reads.cc
@@ -1,5 +1,7 @@
 #include "masticrill/net/pending_reads.h"
 
+#include <utility>
+
 namespace masticrill::net {
 
 PendingReads::Registration::Registration(PendingReads& reads, SocketStream& stream, TimePoint now)
@@ -8,11 +10,14 @@
   this->place = reads.pending.insert(reads.pending.end(), this);
 }
 
-PendingReads::Registration::~Registration() {
+PendingReads::Registration::~Registration() { this->Finish(); }
+
+bool PendingReads::Registration::Finish() {
   const std::scoped_lock lock(this->reads.mutex);
-  if (!this->given_up) {
+  if (std::exchange(this->is_pending, false)) {
     this->reads.pending.erase(this->place);
   }
+  return this->given_up;
 }
 
 bool PendingReads::GiveUpOldest(TimePoint now) {
@@ -22,6 +27,7 @@
   }
   Registration& oldest = *this->pending.front();
   this->pending.pop_front();
+  oldest.is_pending = false;
   oldest.given_up = true;
   oldest.stream.StopReading();
   ++this->count;
