--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -9,7 +9,9 @@
 constexpr milliseconds kCatchUp{4000};
 /// Bounds.RecoveryS.
 constexpr milliseconds kRecovery{12000};
-/// How long the machines without a disk stand still.
+/// How much later the next disk is lost.
+constexpr milliseconds kMargin{200};
+/// How long two machines without a disk stand still.
 constexpr milliseconds kFreeze{6000};
 
 int Run(Record& record) {
@@ -18,6 +20,7 @@
   Machine& first = *fleet.core[0];
   Machine& second = *fleet.core[1];
   const Machine& third = *fleet.core[2];
+  const std::vector<Machine*> frozen = {fleet.others[0].get(), fleet.others[1].get()};
   fleet.StartAll();
   if (!an_operator.Put(Fleet::IpsOf(fleet.core), 1, seconds(15))) {
     return kCouldNotRun;
@@ -32,18 +35,18 @@
   }
   const auto back_at = Clock::now();
   if (WithTrouble()) {
-    for (const auto& machine : fleet.others) {
+    for (Machine* machine : frozen) {
       machine->Signal(SIGSTOP, "stop");
     }
-    first.Start(Fleet::IpsOf(fleet.others), false);
-    std::this_thread::sleep_until(back_at + kCatchUp + milliseconds(500));
+    first.Start({frozen[0]->Ip(), frozen[1]->Ip(), third.Ip()}, false);
+    std::this_thread::sleep_until(back_at + kCatchUp + kMargin);
     record.Line("CatchUpS has passed since the first machine is back: it is lost no longer");
     second.Kill();
     second.LoseDisk();
     Sleep(milliseconds(500));
     second.Start({first.Ip(), third.Ip(), fleet.others[2]->Ip()}, false);
     std::this_thread::sleep_until(back_at + kFreeze);
-    for (const auto& machine : fleet.others) {
+    for (Machine* machine : frozen) {
       machine->Signal(SIGCONT, "continue");
     }
   }
