--- a/review/fleet_2.h
+++ b/review/fleet_2.h
@@ -209,9 +209,11 @@
   static constexpr int kPlatform = 8223;
 };
 
-/// The platform's list of workers. It holds none: these scripts look at the control hosts alone.
+/// The platform's list of workers: the entries that a function makes, or none.
 class PlatformList {
  public:
+  using Entries = std::function<std::string()>;
+
   explicit PlatformList(const std::string& ip) : listener(Listen(ip, Ports::kPlatform)) {
     if (this->listener.Number() < 0) {
       throw std::runtime_error("the address of the platform's list is in use");
@@ -223,13 +225,22 @@
     this->thread.join();
   }
 
+  void SetEntries(Entries next) {
+    const std::scoped_lock lock(this->mutex);
+    this->entries = std::move(next);
+  }
+
  private:
-  void Run() const {
-    const std::string body = "{\"Instances\":[],\"Next\":null}";
-    const std::string answer =
-        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n"
-        "Content-Length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body;
+  std::string Answer() {
+    const std::scoped_lock lock(this->mutex);
+    const std::string body =
+        "{\"Instances\":[" + (this->entries ? this->entries() : "") + "],\"Next\":null}";
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n"
+           "Content-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  void Run() {
     while (!this->stopped) {
       if (!WaitFor(this->listener.Number(), POLLIN, Clock::now() + milliseconds(100))) {
         continue;
@@ -240,22 +251,25 @@
       while (request.find("\r\n\r\n") == std::string::npos &&
              Receive(caller.Number(), request, until)) {
       }
-      SendAll(caller.Number(), answer, until);
+      SendAll(caller.Number(), this->Answer(), until);
     }
   }
 
   Descriptor listener;
+  std::mutex mutex;
+  Entries entries;
   std::atomic<bool> stopped = false;
   std::thread thread;
 };
 
-/// One machine of the class `front`: its settings, its disk, and its process with the role control.
+/// One machine of the class `front`: its settings, its disk, and its process with one role.
 class Machine {
  public:
   struct Place {
     std::string ip;
     std::string zone;
     bool has_disk = false;
+    std::string role = "control";
   };
 
   Machine(Place place, std::string folder, std::string platform_ip, Record& record)
@@ -289,7 +303,8 @@
       ::dup2(out, 2);
       ::setenv("MASTICRILL_SETTINGS", settings.c_str(), 1);
       ::setenv("TMPDIR", temporary.c_str(), 1);
-      ::execl("target/masticrill", "target/masticrill", "platform", "control", nullptr);
+      ::execl("target/masticrill", "target/masticrill", "platform", this->place.role.c_str(),
+              nullptr);
       ::_exit(127);
     }
     std::string text =
@@ -350,9 +365,12 @@
     const std::string& ip = this->place.ip;
     const auto at = [&](int port) { return ip + ":" + std::to_string(port) + "\n"; };
     std::ostringstream text;
-    text << "NodeName=front-" << ip << "\nRole=control\nMachineClass=front\nServes=control\n"
+    text << "NodeName=front-" << ip << "\nRole=" << this->place.role
+         << "\nMachineClass=front\nServes=" << (this->place.role == "control" ? "control" : "front")
+         << "\n"
          << "Ip=" << ip << "\nZone=" << this->place.zone << "\nRegion=region-1\n"
          << "Zones.zone-a=region-1\nZones.zone-b=region-1\nZones.zone-c=region-1\n"
+         << "Listen.Front=" << at(Ports::kCallers) << "Listen.Ready=" << at(Ports::kReady)
          << "Listen.Control=" << at(Ports::kControl) << "InternalPorts=" << Ports::kInternal << ","
          << Ports::kInternal + 15 << "\nSeeds=";
     for (const std::string& seed : seeds) {
@@ -425,12 +443,16 @@
     }
   }
 
-  std::unique_ptr<Machine> MakeMachine(int number, const std::string& zone, bool has_disk) {
+  std::unique_ptr<Machine> MakeMachine(int number, const std::string& zone, bool has_disk,
+                                       const std::string& role = "control") {
     return std::make_unique<Machine>(
-        Machine::Place{this->prefix + std::to_string(number), zone, has_disk}, this->folder,
+        Machine::Place{this->prefix + std::to_string(number), zone, has_disk, role}, this->folder,
         this->PlatformIp(), this->record);
   }
 
+  std::string IpOf(int number) const { return this->prefix + std::to_string(number); }
+  PlatformList& List() { return *this->platform; }
+
   static std::vector<std::string> IpsOf(const std::vector<std::unique_ptr<Machine>>& machines) {
     std::vector<std::string> ips;
     for (const auto& machine : machines) {
@@ -493,11 +515,15 @@
 
   /// Returns whether the version was acknowledged within that time.
   bool Put(const std::vector<std::string>& ips, int version, milliseconds patience) {
+    return this->Put(ips, version, Configuration(version), patience);
+  }
+  bool Put(const std::vector<std::string>& ips, int version, const std::string& body,
+           milliseconds patience) {
     const auto until = Clock::now() + patience;
     for (std::size_t attempt = 0; Clock::now() < until; ++attempt) {
       const std::string& ip = ips[attempt % ips.size()];
-      const Answer answer = Call(ip, Ports::kControl, "PUT", "/v1/config", Configuration(version),
-                                 milliseconds(1000));
+      const Answer answer =
+          Call(ip, Ports::kControl, "PUT", "/v1/config", body, milliseconds(1000));
       this->record.Line("PUT /v1/config, version " + std::to_string(version) + ", to " + ip + ": " +
                         Outcome(answer));
       if (answer.status == 200) {
