--- a/review/fleet_2.h
+++ b/review/fleet_2.h
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -298,6 +299,8 @@
     const std::string log = this->folder + "/log." + std::to_string(++this->starts);
     this->process = ::fork();
     if (this->process == 0) {
+      // It ends with the case, however that ends.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
       ::dup2(out, 1);
       ::dup2(out, 2);
