--- a/review/fleet_2.h
+++ b/review/fleet_2.h
@@ -348,14 +348,14 @@
   /// Whether the process runs.
   bool Runs() const { return this->process > 0 && ::waitpid(this->process, nullptr, WNOHANG) == 0; }
 
+  std::string DiskFolder() const { return this->folder + "/disk"; }
+
   void LoseDisk() const {
     this->record.Line("the disk of " + this->Name() + " is lost");
     std::filesystem::remove_all(this->DiskFolder());
   }
 
  private:
-  std::string DiskFolder() const { return this->folder + "/disk"; }
-
   void End() {
     if (this->process > 0) {
       ::kill(this->process, SIGKILL);
