--- a/review/stand_ins_2.h
+++ b/review/stand_ins_2.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -342,7 +343,8 @@
   void Start() {
     pid = ::fork();
     if (pid != 0) return;
-    ::setpgid(0, 0);
+    // It ends with the script, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, 1);
     ::dup2(out, 2);
