--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "control/parallel_calls.h"
+
 namespace masticrill::control {
 namespace {
 
@@ -36,28 +38,28 @@
 void FleetView::AskAll(const Request& request, const Visitor& visit) {
   const TimePoint deadline = this->clock.Now() + kReplyTimeout;
   const auto left = [&] { return std::max(deadline - this->clock.Now(), Duration::zero()); };
-  std::vector<std::shared_ptr<net::RpcClient>> clients;
+  std::vector<PendingCall> calls;
   for (const PeerAddress& peer : this->addresses.All()) {
-    clients.push_back(this->addresses.Client(peer.node));
-  }
-  // Connecting to a host that is down takes long. Each of the others is connected in its turn.
-  if (!clients.empty()) {
-    const std::size_t first = this->rounds++ % clients.size();
-    std::rotate(clients.begin(), clients.begin() + static_cast<std::ptrdiff_t>(first),
-                clients.end());
+    calls.push_back({this->addresses.Client(peer.node), nullptr});
   }
-  std::stable_partition(clients.begin(), clients.end(),
-                        [](const auto& client) { return client->Peer().has_value(); });
-  std::vector<PendingCall> calls;
-  for (const std::shared_ptr<net::RpcClient>& client : clients) {
+  // Sending to a connected host takes no time, while connecting to one that is down or stands still
+  // takes long.
+  const auto first_unconnected = std::stable_partition(
+      calls.begin(), calls.end(),
+      [](const PendingCall& call) { return call.client->Peer().has_value(); });
+  const auto open = [&](PendingCall& call) {
     HandleErrors(
         [&]() -> Result<bool> {
-          BOOST_LEAF_AUTO(exchange, client->Open(request, left()));
-          calls.push_back({client, exchange});
+          BOOST_LEAF_ASSIGN(call.exchange, call.client->Open(request, left()));
           return true;
         },
         [](const Error&) { return false; });
-  }
+  };
+  std::for_each(calls.begin(), first_unconnected, open);
+  CallInParallel(static_cast<std::size_t>(calls.end() - first_unconnected), [&](std::size_t index) {
+    open(*(first_unconnected + static_cast<std::ptrdiff_t>(index)));
+  });
+  std::erase_if(calls, [](const PendingCall& call) { return call.exchange == nullptr; });
   for (const auto& [client, exchange] : calls) {
     visit(exchange->WaitNext(left()), *client);
     client->Finish(*exchange);
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -1,7 +1,6 @@
 #ifndef MASTICRILL_CONTROL_FLEET_VIEW_H_
 #define MASTICRILL_CONTROL_FLEET_VIEW_H_
 
-#include <atomic>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,8 +48,6 @@
   NodeRegistry& nodes;
   AddressBook& addresses;
   SystemClock clock;
-  /// Number of calls of CollectReports.
-  std::atomic<std::size_t> rounds = 0;
 };
 
 }  // namespace masticrill::control
--- a/test/control/fleet_view_test.cc
+++ b/test/control/fleet_view_test.cc
@@ -100,6 +100,26 @@
   CHECK(silent.event_when_given_up);
 }
 
+// Guards against reports that are missing for seconds after a restart, since a host that accepts
+// connections and never answers takes the time of all that come after it.
+TEST_CASE("hosts that stand still do not keep others from being connected") {
+  ReportingHost first("c-first");
+  ReportingHost last("z-last");
+  std::vector<Poco::Net::ServerSocket> silent;
+  std::vector<PeerAddress> peers = {{NodeId("c-first"), first.Address()},
+                                    {NodeId("z-last"), last.Address()}};
+  for (const std::string name : {"a-silent", "b-silent", "y-silent"}) {
+    silent.emplace_back(Poco::Net::SocketAddress("127.0.0.1:0"));
+    peers.push_back({NodeId(name), silent.back().address().toString()});
+  }
+  AddressBook addresses(peers, NodeCredentials("c-self", net::NodeRole::kControl));
+  NodeRegistry nodes(NodeId("c-self"));
+  FleetView view(nodes, addresses);
+  view.CollectReports();
+  CHECK(first.asked);
+  CHECK(last.asked);
+}
+
 /// The answer of the host at the address to a node with these credentials.
 template <typename Reply, typename Request>
 Reply Ask(const std::string& address, const net::Credentials& node, const Request& request) {
