Control: a voter that stops as planned gives its vote up before it ends

Callers saw 503 for good: of four voters, the one that had been replaced as planned still counted for three seconds of silence after its end.

A stopping host asks the leader to decide on its vote and waits within a bound from the grace period. The leader takes the vote of an even group, after it has promoted a successor where one waits, and leaves it to a voter of an odd group: with one voter less that one would bear less. A replica that has left is deaf and is not promoted again while it ends: without that, a leader that still heard it gave the vote back at once (found by leaving_test and by the histories).

The leader's changes of members have a thread of their own, on which no report is waited for, and a leader without a recent answer of a quorum makes none. Requests to join that reach the leader over several hosts are served one after the other.

--- a/include/masticrill/consensus/membership.h
+++ b/include/masticrill/consensus/membership.h
@@ -55,6 +55,8 @@
   kRemove,
 };
 
+std::string_view ToString(MembershipChangeKind kind);
+
 /// A change by one replica. A node that lost its disk comes back by kRemove of the old replica,
 /// kAddLearner of the new one and, once it has caught up, kPromote.
 struct MembershipChange {
--- a/include/masticrill/control/control_options.h
+++ b/include/masticrill/control/control_options.h
@@ -59,8 +59,12 @@
   /// leader for it.
   Duration list_read_interval = milliseconds(700);
   Duration list_poll_interval = milliseconds(200);
-  /// How often the leader checks for lost entries and for learners that have caught up, and every
-  /// control host updates the fleet information for its nodes.
+  /// Maximum wait of a planned stop for the group to take this replica's vote.
+  Duration leave_timeout = seconds(2);
+  /// How often the leader checks for voters that are gone and learners that have caught up.
+  Duration member_upkeep_interval = milliseconds(250);
+  /// How often the leader checks for lost entries, and every control host updates the fleet
+  /// information for its nodes.
   Duration upkeep_interval = seconds(1);
   /// A snapshot is taken after this many commands or bytes of commands.
   std::size_t snapshot_after_entries = 100'000;
--- a/include/masticrill/net/control_messages.h
+++ b/include/masticrill/net/control_messages.h
@@ -428,7 +428,8 @@
 enum class MemberAction : std::uint8_t {
   kAdd,
   kRemove,
-  kJoin,  // Adds the sender itself, in the place of what its node was before it lost its disk.
+  kJoin,   // Adds the sender itself, in the place of what its node was before it lost its disk.
+  kLeave,  // Takes the sender's vote before its process ends, where that raises the tolerance.
 };
 
 /// Control replica to the leader: change the group of replicas.
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -108,6 +108,20 @@
   return {.rejected = RejectReason::kNotMember};
 }
 
+std::string_view ToString(MembershipChangeKind kind) {
+  switch (kind) {
+    case MembershipChangeKind::kAddLearner:
+      return "add_learner";
+    case MembershipChangeKind::kPromote:
+      return "promote";
+    case MembershipChangeKind::kDemote:
+      return "demote";
+    case MembershipChangeKind::kRemove:
+      return "remove";
+  }
+  return "unknown";
+}
+
 std::string_view ToString(RejectReason reason) {
   switch (reason) {
     case RejectReason::kNotLeader:
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -15,6 +15,7 @@
 #include "control/lease_service.h"
 #include "control/list_service.h"
 #include "control/member_service.h"
+#include "control/member_upkeep.h"
 #include "control/node_registry.h"
 #include "control/operator_access.h"
 #include "control/operator_api.h"
@@ -74,6 +75,7 @@
   std::unique_ptr<GroupFormation> formation;
   std::unique_ptr<Proposer> proposer;
   std::unique_ptr<MemberService> members;
+  std::unique_ptr<MemberUpkeep> member_upkeep;
   std::unique_ptr<FleetView> fleet;
   std::unique_ptr<ListService> lists;
   std::unique_ptr<LeaseService> leases;
@@ -94,6 +96,8 @@
   Result<void> StartServers();
   net::HttpAnswer AnswerOperator(const net::HttpRequest& request, const SenderWaits& sender_waits);
   void TransferLeadership();
+  void GiveUpVote();
+  bool AskToLeave(const NodeId& leader, Duration timeout);
   void StopParts();
 };
 
@@ -103,6 +107,7 @@
   BOOST_LEAF_CHECK(this->StartReplica());
   this->members =
       std::make_unique<MemberService>(*this->replica, this->addresses, this->options.timings);
+  this->member_upkeep = std::make_unique<MemberUpkeep>(this->options, *this->members);
   this->fleet = std::make_unique<FleetView>(this->nodes, this->addresses);
   this->proposer =
       std::make_unique<Proposer>(*this->replica, this->addresses, this->options.timings);
@@ -114,7 +119,7 @@
                                                             *this->fleet, this->revision_times);
   this->upkeep =
       std::make_unique<Upkeep>(this->options, *this->replica, this->replicated, *this->proposer,
-                               *this->members, *this->fleet, this->addresses, *this->leases);
+                               *this->fleet, this->addresses, *this->leases);
   this->rollouts = std::make_unique<RolloutController>(
       *this->replica, this->replicated, *this->fleet, *this->access, this->options.rollout);
   this->prompt_blocks = std::make_unique<EntryReportController>(
@@ -204,11 +209,61 @@
   kLog.Warning("No other replica became leader within the transfer time-out.");
 }
 
+/// Asks the leader to take this replica's vote, and waits until it has decided. Without auto_join,
+/// operators change the members.
+void ControlServer::State::GiveUpVote() {
+  const SystemClock clock;
+  const TimePoint deadline = clock.Now() + this->options.timings.leave_timeout;
+  std::mutex mutex;
+  std::condition_variable timer;
+  std::unique_lock lock(mutex);
+  while (this->options.auto_join && clock.Now() < deadline) {
+    const consensus::ReplicaStatus status = this->replica->Status().replica;
+    if (!status.membership.IsVoter(status.id) || status.role == consensus::Role::kLeader) {
+      break;
+    }
+    if (this->AskToLeave(status.leader.node, deadline - clock.Now())) {
+      break;
+    }
+    timer.wait_for(lock, kTransferPollInterval);
+  }
+  const consensus::ReplicaStatus status = this->replica->Status().replica;
+  if (!status.membership.IsVoter(status.id)) {
+    this->replica->StopReceiving();
+  }
+}
+
+/// Whether the leader has decided on this replica's vote.
+bool ControlServer::State::AskToLeave(const NodeId& leader, Duration timeout) {
+  const std::shared_ptr<net::RpcClient> client = this->addresses.Client(leader);
+  if (client == nullptr) {
+    return false;
+  }
+  return HandleErrors(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(reply, client->Call<net::MemberReply>(
+                                   net::MemberRequest{net::MemberAction::kLeave, this->options.node,
+                                                      this->options.rpc_address},
+                                   timeout));
+        kLog.Info("The leader has decided on the vote of this replica.",
+                  {{"node", this->options.node}, {"answer", reply.message}});
+        return true;
+      },
+      [&](const Error& error) {
+        kLog.Debug("The leader did not decide on the vote of this replica; asking again.",
+                   {{"leader", leader}, {"cause", error.message}});
+        return false;
+      });
+}
+
 /// Ends the threads; the replica after the components that use it, the transport after the replica.
 void ControlServer::State::StopParts() {
   if (this->joiner != nullptr) {
     this->joiner->Stop();
   }
+  if (this->member_upkeep != nullptr) {
+    this->member_upkeep->Stop();
+  }
   if (this->monitor != nullptr) {
     this->monitor->Stop();
   }
@@ -313,6 +368,7 @@
   this->state->proposer->StopAccepting();
   this->state->leases->StopGranting();
   this->state->TransferLeadership();
+  this->state->GiveUpVote();
   this->state->StopParts();
 }
 
--- a/src/control/member_service.cc
+++ b/src/control/member_service.cc
@@ -77,7 +77,16 @@
   if (this->replica.Status().replica.role != consensus::Role::kLeader) {
     return Fail(ToError(consensus::RejectReason::kNotLeader));
   }
-  return request.action == net::MemberAction::kRemove ? this->Remove(request) : this->Add(request);
+  switch (request.action) {
+    case net::MemberAction::kRemove:
+      return this->Remove(request);
+    case net::MemberAction::kLeave:
+      return this->Leave(request.node);
+    case net::MemberAction::kAdd:
+    case net::MemberAction::kJoin:
+      break;
+  }
+  return this->Add(request);
 }
 
 /// Asks the replica for the identity of its data folder and adds it as a learner.
@@ -92,20 +101,28 @@
   }
   this->addresses.Set(request.node, request.address);
   const consensus::ReplicaId replica{reply.node, storage::DataFolderId(reply.identity)};
+  return this->AddReplica(replica, request.action == net::MemberAction::kJoin);
+}
+
+Result<std::string> MemberService::AddReplica(const consensus::ReplicaId& replica, bool joins) {
+  // A joining host asks several hosts, and each forwards its request.
+  std::unique_lock changing(this->changes_mutex, std::defer_lock);
+  if (!changing.try_lock_for(this->timings.propose_timeout)) {
+    return Fail(ToError(consensus::RejectReason::kChangeInProgress));
+  }
   const consensus::Membership membership = this->replica.Status().replica.membership;
-  const bool joins = request.action == net::MemberAction::kJoin;
   if (joins && membership.IsMember(replica)) {
-    return request.node.Value() + " is a member already.";
+    return replica.node.Value() + " is a member already.";
   }
-  if (const consensus::ReplicaId* former = membership.FindNode(request.node);
+  if (const consensus::ReplicaId* former = membership.FindNode(replica.node);
       joins && former != nullptr && !membership.IsRetired(replica.identity)) {
     // The node has lost its data folder, and with it its former identity.
     kLog.Info("A node rejoins with an empty data folder; removing its former identity.",
-              {{"node", request.node}, {"identity", former->identity}});
+              {{"node", replica.node}, {"identity", former->identity}});
     BOOST_LEAF_CHECK(this->Propose({consensus::MembershipChangeKind::kRemove, *former}));
   }
   BOOST_LEAF_CHECK(this->Propose({consensus::MembershipChangeKind::kAddLearner, replica}));
-  return "Added " + request.node.Value() + " as a learner. It votes once it has caught up.";
+  return "Added " + replica.node.Value() + " as a learner. It votes once it has caught up.";
 }
 
 Result<std::string> MemberService::Remove(const net::MemberRequest& request) {
@@ -119,6 +136,33 @@
   return "Removed " + request.node.Value() + ".";
 }
 
+Result<std::string> MemberService::Leave(const NodeId& node) {
+  std::unique_lock changing(this->changes_mutex, std::defer_lock);
+  if (!changing.try_lock_for(this->timings.propose_timeout)) {
+    return Fail(ToError(consensus::RejectReason::kChangeInProgress));
+  }
+  while (true) {
+    const consensus::ReplicaStatus status = this->replica.Status().replica;
+    const consensus::ReplicaId* member = status.membership.FindNode(node);
+    if (member == nullptr || !status.membership.IsVoter(*member)) {
+      return node.Value() + " has no vote.";
+    }
+    const auto change = PlanLeave(status.membership, *member, this->FindSuccessor(status));
+    if (!change) {
+      return node.Value() + " keeps its vote: the group tolerates no more losses without it.";
+    }
+    kLog.Info("Changing the voters before one of them ends as planned.",
+              {{"leaving", node},
+               {"changed", change->replica.node},
+               {"voters", status.membership.voters.size()}});
+    if (change->replica == *member) {
+      const std::scoped_lock lock(this->mutex);
+      this->leaving.Add(*member, SystemClock().Now());
+    }
+    BOOST_LEAF_CHECK(this->Propose(*change));
+  }
+}
+
 Result<void> MemberService::Propose(const consensus::MembershipChange& change) {
   const auto waiter = std::make_shared<Waiter>();
   this->replica.ProposeMembership(change, [waiter](const consensus::ProposalResult& result) {
@@ -139,6 +183,11 @@
   return {};
 }
 
+bool MemberService::IsLeaving(const consensus::ReplicaId& replica) {
+  const std::scoped_lock lock(this->mutex);
+  return this->leaving.Contains(replica, SystemClock().Now());
+}
+
 bool MemberService::MayVote(const consensus::ReplicaId& learner) {
   {
     const std::scoped_lock lock(this->mutex);
@@ -169,108 +218,33 @@
       });
 }
 
-namespace {
-
-/// Of the matching peers that the leader has not heard from for more than `timeout`, the one that
-/// it heard from the longest time ago.
-template <typename Predicate>
-std::optional<consensus::ReplicaId> FindUnresponsive(const consensus::ReplicaStatus& status,
-                                                     Duration timeout, TimePoint now,
-                                                     const Predicate& matches) {
-  std::optional<consensus::ReplicaId> found;
-  TimePoint oldest = now - timeout;
-  for (const consensus::PeerStatus& peer : status.peers) {
-    if (matches(peer.replica) && peer.heard_at < oldest) {
-      found = peer.replica;
-      oldest = peer.heard_at;
-    }
-  }
-  return found;
-}
-
-std::optional<consensus::ReplicaId> FindUnresponsiveVoter(const consensus::ReplicaStatus& status,
-                                                          Duration timeout, TimePoint now) {
-  return FindUnresponsive(status, timeout, now, [&](const consensus::ReplicaId& replica) {
-    return status.membership.IsVoter(replica);
-  });
-}
-
-bool IsEven(const consensus::Membership& membership) { return membership.voters.size() % 2 == 0; }
-
-/// The voter that the group is better off without; nullopt when there is none.
-std::optional<consensus::ReplicaId> FindVoterToDemote(const consensus::ReplicaStatus& status,
-                                                      bool has_successor,
-                                                      const ControlTimings& timings,
-                                                      TimePoint now) {
-  // Without a successor, what is left must still tolerate the loss of another voter.
-  constexpr std::size_t kMinVotersLeft = 3;
-  constexpr std::size_t kMinVotersLeftWithSuccessor = 2;
-  const std::size_t min_left = has_successor ? kMinVotersLeftWithSuccessor : kMinVotersLeft;
-  if (status.membership.voters.size() <= min_left) {
-    return std::nullopt;
-  }
-  // An even group tolerates no more losses than the group without the unresponsive voter.
-  const bool soon = has_successor || IsEven(status.membership);
-  return FindUnresponsiveVoter(
-      status, soon ? timings.demote_surplus_voter_after : timings.demote_voter_after, now);
-}
-
-}  // namespace
-
 std::optional<consensus::ReplicaId> MemberService::FindSuccessor(
     const consensus::ReplicaStatus& status) {
   for (const consensus::PeerStatus& peer : status.peers) {
     if (peer.caught_up && status.membership.IsLearner(peer.replica) &&
-        this->MayVote(peer.replica)) {
+        !this->IsLeaving(peer.replica) && this->MayVote(peer.replica)) {
       return peer.replica;
     }
   }
   return std::nullopt;
 }
 
-bool MemberService::RetireUnresponsiveMember() {
-  const consensus::ReplicaStatus status = this->replica.Status().replica;
-  const TimePoint now = SystemClock().Now();
-  const bool has_successor = this->FindSuccessor(status).has_value();
-  if (const auto voter = FindVoterToDemote(status, has_successor, this->timings, now)) {
-    kLog.Info("Demoting a voter that the leader has not heard from within the limit.",
-              {{"node", voter->node},
-               {"voters", status.membership.voters.size()},
-               {"has_successor", has_successor}});
-    this->replica.ProposeMembership({consensus::MembershipChangeKind::kDemote, *voter},
-                                    [](const consensus::ProposalResult&) {});
-    return true;
-  }
-  // An observer restarts under a new identity; its former identity is still listed as a learner.
-  const auto learner = FindUnresponsive(
-      status, this->timings.remove_learner_after, now,
-      [&](const consensus::ReplicaId& replica) { return status.membership.IsLearner(replica); });
-  if (!learner) {
-    return false;
-  }
-  kLog.Info("Removing a learner that the leader has not heard from within the limit.",
-            {{"node", learner->node}});
-  this->replica.ProposeMembership({consensus::MembershipChangeKind::kRemove, *learner},
-                                  [](const consensus::ProposalResult&) {});
-  return true;
-}
-
-void MemberService::PromoteLearner(bool waits_for_voters) {
+void MemberService::Maintain(MembershipUpkeep upkeep) {
   const consensus::ReplicaStatus status = this->replica.Status().replica;
-  if (status.membership.voters.size() >= consensus::kMaxVoters) {
+  if (status.role != consensus::Role::kLeader) {
     return;
   }
-  // Beside a silent voter, one more voter would raise the majority that the others have to reach.
-  const bool raises_quorum = !IsEven(status.membership);
-  if (waits_for_voters && raises_quorum &&
-      FindUnresponsiveVoter(status, this->timings.election_timeout, SystemClock().Now())) {
+  const auto successor = this->FindSuccessor(status);
+  const auto change =
+      PlanMembershipUpkeep(status, successor, upkeep, this->timings, SystemClock().Now());
+  if (!change) {
     return;
   }
-  if (const auto learner = this->FindSuccessor(status)) {
-    kLog.Info("Promoting a learner that has caught up to a voter.", {{"node", learner->node}});
-    this->replica.ProposeMembership({consensus::MembershipChangeKind::kPromote, *learner},
-                                    [](const consensus::ProposalResult&) {});
-  }
+  kLog.Info("Changing the membership.", {{"change", ToString(change->kind)},
+                                         {"node", change->replica.node},
+                                         {"voters", status.membership.voters.size()},
+                                         {"has_successor", successor.has_value()}});
+  this->replica.ProposeMembership(*change, [](const consensus::ProposalResult&) {});
 }
 
 }  // namespace masticrill::control
--- a/src/control/member_service.h
+++ b/src/control/member_service.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "control/address_book.h"
+#include "control/membership_plan.h"
 #include "control/replica_runner.h"
 #include "masticrill/net/messages.h"
 
@@ -25,19 +26,19 @@
   Result<std::string> Change(const net::MemberRequest& request, Duration timeout);
   /// Makes the change; fails with kNotLeader when another replica leads.
   Result<std::string> ChangeAsLeader(const net::MemberRequest& request);
-  /// As the leader, proposes to promote one learner that has caught up and may vote. With
-  /// `waits_for_voters`, not while an odd group has a voter that does not answer.
-  void PromoteLearner(bool waits_for_voters);
-  /// As the leader, proposes to demote a voter or to remove a learner that it has not heard from
-  /// for longer than the limit in ControlTimings. Returns whether it did.
-  bool RetireUnresponsiveMember();
+  /// As the leader, proposes the change of PlanMembershipUpkeep, if there is one.
+  void Maintain(MembershipUpkeep upkeep);
 
  private:
   Result<std::string> Add(const net::MemberRequest& request);
-  /// A learner that has caught up and may vote; nullopt when there is none.
+  Result<std::string> AddReplica(const consensus::ReplicaId& replica, bool joins);
+  /// A learner that has caught up, may vote and does not end; nullopt when there is none.
   std::optional<consensus::ReplicaId> FindSuccessor(const consensus::ReplicaStatus& status);
   Result<std::string> Remove(const net::MemberRequest& request);
+  /// Makes the changes of PlanLeave for the node, one after the other.
+  Result<std::string> Leave(const NodeId& node);
   Result<void> Propose(const consensus::MembershipChange& change);
+  bool IsLeaving(const consensus::ReplicaId& replica);
   /// Whether a learner may become a voter, which an observer may not; false while the learner does
   /// not answer.
   bool MayVote(const consensus::ReplicaId& learner);
@@ -45,9 +46,12 @@
   ReplicaRunner& replica;
   AddressBook& addresses;
   ControlTimings timings;
+  /// Held by a request while it makes its changes, so that others see all or none of them.
+  std::timed_mutex changes_mutex;
   std::mutex mutex;
   /// Answers of learners for MayVote. The answer for one identity never changes.
   std::map<consensus::ReplicaId, bool> may_vote_by_learner;
+  LeavingReplicas leaving;
 };
 
 }  // namespace masticrill::control
--- a/src/control/replica_runner.h
+++ b/src/control/replica_runner.h
@@ -84,6 +84,8 @@
   }
   void Read(consensus::ReadCallback callback) { this->driver->Read(std::move(callback)); }
   void TransferLeadership() { this->driver->TransferLeadership(); }
+  /// Drops all messages from now on, so that the leader takes this replica for gone.
+  void StopReceiving() { this->running = false; }
   /// Drops the message while the replica does not run.
   void OnMessage(const NodeId& from, consensus::Message message) {
     if (this->running) {
--- a/src/control/rpc_service.cc
+++ b/src/control/rpc_service.cc
@@ -110,6 +110,10 @@
     return {};
   }
   BOOST_LEAF_AUTO(request, net::DecodePayload<net::MemberRequest>(frame.payload));
+  if (request.action == net::MemberAction::kLeave && channel->Peer().node != request.node) {
+    return Fail(ErrorKind::kForbidden,
+                "Only a replica itself may give its vote up. Remove it as an operator instead.");
+  }
   // A joining host may know none but followers and observers. What was forwarded once is not
   // forwarded again, so that two hosts that each take the other for the leader end it.
   const bool may_forward =
--- a/src/control/upkeep.cc
+++ b/src/control/upkeep.cc
@@ -16,13 +16,12 @@
 }  // namespace
 
 Upkeep::Upkeep(const ControlOptions& options, ReplicaRunner& replica,
-               const state::ReplicatedState& state, Proposer& proposer, MemberService& members,
-               FleetView& fleet, AddressBook& addresses, LeaseService& leases)
+               const state::ReplicatedState& state, Proposer& proposer, FleetView& fleet,
+               AddressBook& addresses, LeaseService& leases)
     : options(options),
       replica(replica),
       state(state),
       proposer(proposer),
-      members(members),
       fleet(fleet),
       addresses(addresses),
       leases(leases),
@@ -41,10 +40,6 @@
   if (this->BootstrapPending()) {
     this->ProposeBootstrapDocument();
   }
-  // Without auto_join, operators replace unresponsive voters.
-  if (!this->options.auto_join || !this->members.RetireUnresponsiveMember()) {
-    this->members.PromoteLearner(/*waits_for_voters=*/this->options.auto_join);
-  }
   const std::vector<net::NodeReport> reports = this->fleet.CollectReports();
   this->PublishFleet(reports);
   this->CloseLostEntries(reports);
--- a/src/control/upkeep.h
+++ b/src/control/upkeep.h
@@ -9,7 +9,6 @@
 #include "control/address_book.h"
 #include "control/fleet_view.h"
 #include "control/lease_service.h"
-#include "control/member_service.h"
 #include "control/node_activity_tracker.h"
 #include "control/periodic_thread.h"
 #include "control/proposer.h"
@@ -19,14 +18,13 @@
 namespace masticrill::control {
 
 /// Periodic upkeep of a control host. Every host updates the fleet information for its nodes. The
-/// leader also commits the bootstrap document, removes unresponsive members, promotes learners that
-/// have caught up, and closes the incarnations of lost entries. Owns a thread.
+/// leader also commits the bootstrap document and closes the incarnations of lost entries. Owns a
+/// thread.
 class Upkeep {
  public:
   /// The arguments must outlive the upkeep.
   Upkeep(const ControlOptions& options, ReplicaRunner& replica, const state::ReplicatedState& state,
-         Proposer& proposer, MemberService& members, FleetView& fleet, AddressBook& addresses,
-         LeaseService& leases);
+         Proposer& proposer, FleetView& fleet, AddressBook& addresses, LeaseService& leases);
 
   void Stop() { this->thread.Stop(); }
   std::uint64_t ClosedIncarnations() const { return this->closed_incarnations; }
@@ -46,7 +44,6 @@
   ReplicaRunner& replica;
   const state::ReplicatedState& state;
   Proposer& proposer;
-  MemberService& members;
   FleetView& fleet;
   AddressBook& addresses;
   LeaseService& leases;
