Prompt blocks: a part that survived before is not blocked as all upstreams end once

The losses came as one event, others with shorter answers survived first, and nothing asked whether losses go on.

A part or request with earlier survivals now needs losses on three events a second or more apart, the last of them recent, and is blocked for a minute: a block on what all requests of a route hold refuses the whole route, so it is tried again soon.

--- a/include/masticrill/routing/prompt_evidence.h
+++ b/include/masticrill/routing/prompt_evidence.h
@@ -65,6 +65,12 @@
   milliseconds survival_time{500};
   /// The time in which a part with earlier survivals could have had another one.
   milliseconds time_to_survive{2000};
+  /// Losses under a part or request with earlier survivals count as one event within this time: all
+  /// upstreams of a service may end within moments.
+  milliseconds same_event{1000};
+  std::size_t min_events_after_survival = 3;
+  /// They must also go on: the last one is no older than this.
+  milliseconds losses_go_on{2500};
   /// Older evidence does not count.
   milliseconds window{60'000};
   /// A report is recent up to this age.
@@ -94,7 +100,8 @@
   PromptPartId part;
   std::size_t lost_upstreams = 0;
   std::size_t requests = 0;
-  /// False if the cause may be another one. Such a verdict holds for a short time.
+  /// False if the cause may be another one, as where requests with the part survived before. Such a
+  /// verdict holds for a short time.
   bool is_certain = true;
 
   friend bool operator==(const PartVerdict&, const PartVerdict&) = default;
--- a/src/control/entry_report_controller.cc
+++ b/src/control/entry_report_controller.cc
@@ -32,10 +32,11 @@
 }
 
 std::string Describe(const routing::PartVerdict& verdict) {
-  const std::string ended = std::to_string(verdict.lost_upstreams) + " upstreams ended under ";
-  return routing::IsWholeRequest(verdict.part)
-             ? ended + (verdict.is_certain ? "the request" : "the request, but maybe not by it")
-             : ended + std::to_string(verdict.requests) + " requests with it";
+  const std::string subject = routing::IsWholeRequest(verdict.part)
+                                  ? "the request"
+                                  : std::to_string(verdict.requests) + " requests with it";
+  return std::to_string(verdict.lost_upstreams) + " upstreams ended under " + subject +
+         (verdict.is_certain ? "" : ", but maybe not by it");
 }
 
 }  // namespace
--- a/src/routing/prompt_evidence.cc
+++ b/src/routing/prompt_evidence.cc
@@ -212,15 +212,20 @@
   return streaks;
 }
 
-std::size_t CountMoments(const Streak& streak, milliseconds same_moment) {
+/// The ages of the upstreams' losses, newest first.
+std::vector<std::int64_t> AgesOf(const Streak& streak) {
   std::vector<std::int64_t> ages;
   for (const auto& [upstream, age_ms] : streak.upstreams) {
     ages.push_back(age_ms);
   }
   std::sort(ages.begin(), ages.end());
+  return ages;
+}
+
+std::size_t CountMoments(const Streak& streak, milliseconds same_moment) {
   std::size_t moments = 0;
   std::optional<std::int64_t> last;
-  for (const std::int64_t age_ms : ages) {
+  for (const std::int64_t age_ms : AgesOf(streak)) {
     if (!last || age_ms - *last > same_moment.count()) {
       ++moments;
       last = age_ms;
@@ -229,12 +234,30 @@
   return moments;
 }
 
+/// The age of an end, counted from 1 for the oldest.
+std::int64_t AgeOfEnd(const Streak& streak, std::size_t number) {
+  const std::vector<std::int64_t> ages = AgesOf(streak);
+  return ages.at(ages.size() - number);
+}
+
 /// Whether requests without the part survived while those with it did not.
 bool OthersSurvived(const PromptEvidence& evidence, const Streak& streak) {
   return std::any_of(evidence.survivals.begin(), evidence.survivals.end(),
                      [&](const auto& survival) { return survival.second < streak.OldestAge(); });
 }
 
+/// Whether the losses under a part or request that was survived before follow it, and not a time at
+/// which upstreams ended for another reason: they go on while others survive. All requests of a
+/// route may hold the part, so none without it may have been at the upstreams that were lost.
+bool FollowsAfterSurvival(const PromptEvidence& evidence, const Streak& streak,
+                          const PromptSettings& settings) {
+  // A loss on the bound begins another event.
+  const milliseconds apart = settings.same_event - milliseconds(1);
+  return CountMoments(streak, apart) >= settings.min_events_after_survival &&
+         AgesOf(streak).front() <= settings.losses_go_on.count() &&
+         streak.OldestAge() >= settings.time_to_survive.count() && OthersSurvived(evidence, streak);
+}
+
 bool IsCondemned(const PromptEvidence& evidence, const Streak& streak,
                  const PromptSettings& settings) {
   const std::size_t needed =
@@ -246,8 +269,7 @@
          CountMoments(streak, settings.same_moment) >=
              (are_many ? settings.min_moments_of_many : settings.min_moments) &&
          streak.WithoutMostFrequentRequest() >= settings.min_ends_of_others &&
-         (!streak.has_survived || (streak.OldestAge() >= settings.time_to_survive.count() &&
-                                   OthersSurvived(evidence, streak)));
+         (!streak.has_survived || FollowsAfterSurvival(evidence, streak, settings));
 }
 
 /// Orders the parts that explain about the same losses: a part that no request has survived is more
@@ -297,16 +319,6 @@
          first.upstreams.size() == second.upstreams.size();
 }
 
-/// The age of an end, counted from 1 for the oldest.
-std::int64_t AgeOfEnd(const Streak& streak, std::size_t number) {
-  std::vector<std::int64_t> ages;
-  for (const auto& [upstream, age_ms] : streak.upstreams) {
-    ages.push_back(age_ms);
-  }
-  std::sort(ages.rbegin(), ages.rend());
-  return ages.at(number - 1);
-}
-
 /// Whether the streak has half or more of the upstreams that ended lately without a known cause.
 /// Where many end without it, the next attempt of a sound request may well be lost, too.
 bool WasAtMostEnds(const Streak& streak, const std::vector<const LostStart*>& ends,
@@ -378,8 +390,7 @@
            CountMoments(streak, this->settings.same_request_moment) >=
                this->settings.min_request_moments &&
            AgeOfEnd(streak, needed) >= this->settings.request_settling.count() &&
-           (!streak.has_survived || (streak.OldestAge() >= this->settings.time_to_survive.count() &&
-                                     OthersSurvived(this->evidence, streak)));
+           (!streak.has_survived || FollowsAfterSurvival(this->evidence, streak, this->settings));
   }
 
   /// The upstreams, and the attempts there, whose ends no block explains.
@@ -523,7 +534,7 @@
       !IsCondemned(evidence, streak, settings)) {
     return std::nullopt;
   }
-  return PartVerdict{part, streak.upstreams.size(), streak.requests.size()};
+  return PartVerdict{part, streak.upstreams.size(), streak.requests.size(), !streak.has_survived};
 }
 
 std::vector<PartVerdict> JudgeWholeRequests(const PromptEvidence& evidence, BlockedParts blocked,
--- a/test/control/crashing_fleet.h
+++ b/test/control/crashing_fleet.h
@@ -60,6 +60,11 @@
   int own_end_every_ms = 0;
   /// When every third upstream ends at once; -1 for never.
   int domain_lost_at_ms = -1;
+  /// When half of all upstreams end, and half a second later the others; -1 for never.
+  int all_lost_at_ms = -1;
+  /// How long answers to prompts with a first part take to begin, if not 0: half of the sound
+  /// requests then have short prompts without one, and the others share one.
+  int long_prompt_ms = 0;
 };
 
 /// Entries with their guards, upstreams that end, and one control host, in simulated time. Requests
@@ -204,7 +209,14 @@
   /// The whole request, and two parts of its prompt.
   gateway::RequestParts MakeParts(const std::string& name, bool has_bad_part) {
     gateway::RequestParts parts{PromptPartId("request." + name), {}};
-    if (!this->scenario.is_plain) {
+    if (this->scenario.long_prompt_ms > 0) {
+      const bool is_short = !has_bad_part && this->random.Uniform() < 0.5;
+      parts.shared.push_back(is_short ? this->Draw("short", 8) : PromptPartId("first0"));
+      if (!is_short) {
+        parts.shared.push_back(has_bad_part ? kBad
+                                            : this->Draw("other", this->scenario.other_parts));
+      }
+    } else if (!this->scenario.is_plain) {
       parts.shared.push_back(this->Draw("first", this->scenario.first_parts));
       parts.shared.push_back(has_bad_part ? kBad : this->Draw("other", this->scenario.other_parts));
     }
@@ -270,7 +282,9 @@
     if (!request.culprit.empty() && !this->IsCutOff(entry)) {
       this->bad[request.culprit].arrivals.push_back(this->now);
     }
-    const int begun_at = this->now + 20 + static_cast<int>(this->random.Below(100));
+    const bool is_long = request.parts.shared.size() > 1 && this->scenario.long_prompt_ms > 0;
+    const int begun_at = this->now + 20 + static_cast<int>(this->random.Below(100)) +
+                         (is_long ? this->scenario.long_prompt_ms : 0);
     const int lasts_ms =
         this->scenario.is_plain ? 0 : 200 + static_cast<int>(this->random.Below(2000));
     this->running.push_back({entry, chosen, this->upstreams[chosen].starts, begun_at,
@@ -292,7 +306,11 @@
       Upstream& upstream = this->upstreams[number];
       const bool ends_with_domain =
           this->now == this->scenario.domain_lost_at_ms && number % 3 == 0;
-      if (upstream.crash_at == this->now || (ends_with_domain && this->now >= upstream.back_at)) {
+      const bool ends_with_all =
+          this->scenario.all_lost_at_ms >= 0 &&
+          this->now == this->scenario.all_lost_at_ms + (number % 2 == 0 ? 0 : 500);
+      if (upstream.crash_at == this->now ||
+          ((ends_with_domain || ends_with_all) && this->now >= upstream.back_at)) {
         this->Crash(upstream);
       }
     }
--- a/test/control/prompt_blocks_fleet_test.cc
+++ b/test/control/prompt_blocks_fleet_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <array>
+
 #include "control/crashing_fleet.h"
 
 namespace masticrill::control {
@@ -84,5 +86,57 @@
   CheckScenario(scenario);
 }
 
+/// A route whose prompts all begin with one part and take long, beside one with short prompts.
+Scenario LongPrompts() {
+  Scenario scenario;
+  scenario.entries = 2;
+  scenario.long_prompt_ms = 1200;
+  scenario.bad_per_s = 0.6;
+  scenario.sound_per_s = 35;
+  scenario.discarded = 0;
+  return scenario;
+}
+
+/// The times at which all upstreams end: before, just before, in the midst of and after the first
+/// ends under the bad part.
+constexpr std::array kAllLostAtMs = {2500, 3500, 6000, 9000, 12'000};
+
+// Guards against a route that is refused for an hour since all upstreams ended together once.
+TEST_CASE("a common part is not blocked as all upstreams end once") {
+  for (const bool has_bad_part : {false, true}) {
+    for (const int all_lost_at_ms : kAllLostAtMs) {
+      for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(has_bad_part);
+        CAPTURE(all_lost_at_ms);
+        CAPTURE(seed);
+        Scenario scenario = LongPrompts();
+        scenario.all_lost_at_ms = all_lost_at_ms;
+        scenario.bad_from_ms = has_bad_part ? scenario.bad_from_ms : INT32_MAX;
+        SimulatedFleet fleet(scenario, seed);
+        fleet.Run(30'000);
+        CHECK(fleet.Blocked().find("first") == std::string::npos);
+        CHECK(fleet.HeldBack().find("first") == std::string::npos);
+        CHECK((has_bad_part || fleet.Blocked().empty()));
+      }
+    }
+  }
+}
+
+TEST_CASE("a bad part is blocked in time and alone as all upstreams end once") {
+  for (const int all_lost_at_ms : kAllLostAtMs) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      CAPTURE(all_lost_at_ms);
+      CAPTURE(seed);
+      Scenario scenario = LongPrompts();
+      scenario.all_lost_at_ms = all_lost_at_ms;
+      SimulatedFleet fleet(scenario, seed);
+      fleet.Run(30'000);
+      CHECK(fleet.LateArrivals() <= kMaxLateArrivals);
+      CHECK(fleet.Blocked() == kBad.Value());
+      CHECK(fleet.HeldBack() == "");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace masticrill::control
--- a/test/routing/prompt_evidence_test.cc
+++ b/test/routing/prompt_evidence_test.cc
@@ -87,6 +87,40 @@
   CHECK(survived.Survived(kBad, 2700).Condemned().empty());
 }
 
+/// All upstreams end in two halves, half a second apart, under requests with a common part.
+Evidence EndsOfAll(std::int64_t age_ms) {
+  Evidence evidence;
+  for (std::uint64_t upstream = 0; upstream < 9; ++upstream) {
+    const std::int64_t half = upstream < 4 ? 500 : 0;
+    evidence.Lost(upstream, 100 + upstream, {kCommon, kRare}, age_ms + half);
+  }
+  return evidence;
+}
+
+// Guards against a route that is refused as a whole: all its requests share a part, need long for
+// their answers, and had no time to survive since all upstreams ended together.
+TEST_CASE("a part that survived before is not condemned for upstreams that end together") {
+  for (std::int64_t age_ms = 500; age_ms <= 20'000; age_ms += 250) {
+    CAPTURE(age_ms);
+    Evidence evidence = EndsOfAll(age_ms);
+    // Shorter requests survive first.
+    evidence.Survived(kCommon, age_ms + 1500).Survived(kRare, age_ms + 1500);
+    CHECK(evidence.Survived(PromptPartId("short"), age_ms / 8).Verdicts().empty());
+    // Another upstream ends for its own reasons.
+    evidence.Lost(9, 200, {kCommon, PromptPartId("other")}, age_ms / 2);
+    CHECK(evidence.Verdicts().empty());
+  }
+}
+
+TEST_CASE("a part that survived before is blocked for a short time if its losses go on") {
+  Evidence evidence = EndsOfAll(6000);
+  evidence.Survived(kCommon, 7500).Survived(kRare, 7500).Survived(PromptPartId("short"), 100);
+  evidence.Lost(0, 300, {kCommon}, 2600).Lost(10, 301, {kCommon}, 2600);
+  CHECK(evidence.Verdicts().empty());
+  evidence.Lost(11, 302, {kCommon}, 1500);
+  CHECK(evidence.Verdicts() == std::vector<PartVerdict>{{kCommon, 11, 12, false}});
+}
+
 TEST_CASE("the parts of requests that merely ran on the upstreams that ended are acquitted") {
   Evidence evidence = EndsUnder({kCommon, kBad}, 5);
   for (const std::uint64_t upstream : {0, 2, 4}) {
