Control: the members of the log say who the control hosts are

Followers knew the hosts of their settings and the leader. They missed what entries at other hosts report, and did not ask their own entries about it, so the leader's verdict never had all answers. ControlHosts now is the one list: the members of the replicated log whose addresses are known, learners too, and before a replica is a member all hosts that it has heard of. The fleet view and the joiner use it; hosts that have left are no longer asked.

--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "control/address_book.h"
+#include "control/control_hosts.h"
 #include "control/durable_file.h"
 #include "control/entry_report_controller.h"
 #include "control/fleet_view.h"
@@ -76,6 +77,7 @@
   std::unique_ptr<Proposer> proposer;
   std::unique_ptr<MemberService> members;
   std::unique_ptr<MemberUpkeep> member_upkeep;
+  std::unique_ptr<ControlHosts> hosts;
   std::unique_ptr<FleetView> fleet;
   std::unique_ptr<ListService> lists;
   std::unique_ptr<LeaseService> leases;
@@ -108,7 +110,9 @@
   this->members =
       std::make_unique<MemberService>(*this->replica, this->addresses, this->options.timings);
   this->member_upkeep = std::make_unique<MemberUpkeep>(this->options, *this->members);
-  this->fleet = std::make_unique<FleetView>(this->nodes, this->addresses);
+  this->hosts = std::make_unique<ControlHosts>(this->addresses,
+                                               [this] { return this->replica->Status().replica; });
+  this->fleet = std::make_unique<FleetView>(this->nodes, this->addresses, *this->hosts);
   this->proposer =
       std::make_unique<Proposer>(*this->replica, this->addresses, this->options.timings);
   this->lists = std::make_unique<ListService>(this->options, *this->replica, this->addresses);
@@ -125,7 +129,7 @@
   this->prompt_blocks = std::make_unique<EntryReportController>(
       *this->replica, this->replicated, *this->fleet, *this->leases, *this->access);
   this->joiner = std::make_unique<GroupJoiner>(this->options, *this->replica, this->addresses,
-                                               *this->formation);
+                                               *this->hosts, *this->formation);
   return this->StartServers();
 }
 
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -39,8 +39,10 @@
   const TimePoint deadline = this->clock.Now() + kReplyTimeout;
   const auto left = [&] { return std::max(deadline - this->clock.Now(), Duration::zero()); };
   std::vector<PendingCall> calls;
-  for (const PeerAddress& peer : this->addresses.All()) {
-    calls.push_back({this->addresses.Client(peer.node), nullptr});
+  for (const NodeId& host : this->hosts.Members()) {
+    if (std::shared_ptr<net::RpcClient> client = this->addresses.Client(host)) {
+      calls.push_back({std::move(client), nullptr});
+    }
   }
   // Sending to a connected host takes no time, while connecting to one that is down or stands still
   // takes long.
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "control/address_book.h"
+#include "control/control_hosts.h"
 #include "control/node_registry.h"
 
 namespace masticrill::control {
@@ -27,7 +28,8 @@
 class FleetView {
  public:
   /// The arguments must outlive the view.
-  FleetView(NodeRegistry& nodes, AddressBook& addresses) : nodes(nodes), addresses(addresses) {}
+  FleetView(NodeRegistry& nodes, AddressBook& addresses, const ControlHosts& hosts)
+      : nodes(nodes), addresses(addresses), hosts(hosts) {}
 
   /// Requests the reports of the other control hosts and merges them with the reports of this host.
   /// Takes at most kReplyTimeout, also when many hosts are down; those that do not reply are left
@@ -47,6 +49,7 @@
 
   NodeRegistry& nodes;
   AddressBook& addresses;
+  const ControlHosts& hosts;
   SystemClock clock;
 };
 
--- a/src/control/group_joiner.cc
+++ b/src/control/group_joiner.cc
@@ -24,10 +24,12 @@
 }  // namespace
 
 GroupJoiner::GroupJoiner(const ControlOptions& options, ReplicaRunner& replica,
-                         AddressBook& addresses, const GroupFormation& formation)
+                         AddressBook& addresses, const ControlHosts& hosts,
+                         const GroupFormation& formation)
     : options(options),
       replica(replica),
       addresses(addresses),
+      hosts(hosts),
       formation(formation),
       requests(kMaxRequests),
       thread([this] { return this->RunOnce(); }) {}
@@ -51,12 +53,12 @@
   if (this->accepted_at && now - *this->accepted_at < kMemberCheckInterval) {
     return kAskInterval;
   }
-  const std::set<NodeId> hosts = this->KnownHosts(status);
-  if (const auto host = this->schedule.StartNext(hosts, status.leader.node, now)) {
+  const std::set<NodeId> known = this->hosts.All();
+  if (const auto host = this->schedule.StartNext(known, status.leader.node, now)) {
     this->StartRequest(*host);
     return kAskInterval;
   }
-  this->LogRefusals(status, hosts);
+  this->LogRefusals(status, known);
   return kAskInterval;
 }
 
@@ -77,8 +79,8 @@
 }
 
 void GroupJoiner::LogRefusals(const consensus::ReplicaStatus& status,
-                              const std::set<NodeId>& hosts) {
-  if (!this->schedule.CompletesRound(hosts)) {
+                              const std::set<NodeId>& known) {
+  if (!this->schedule.CompletesRound(known)) {
     return;
   }
   const std::optional<std::string> causes = this->report.EndRound(this->clock.Now());
@@ -87,7 +89,7 @@
     kLog.Warning("No control host accepted the join request of this replica; asking again.",
                  {{"node", status.id.node},
                   {"identity", status.id.identity},
-                  {"asked", hosts.size()},
+                  {"asked", known.size()},
                   {"causes", *causes}});
   }
 }
@@ -101,23 +103,6 @@
   return now - this->led_at > kMaxLeaderless;
 }
 
-/// The other control hosts by name: those with a known address, and the members of the own log, of
-/// which some are named by their addresses.
-std::set<NodeId> GroupJoiner::KnownHosts(const consensus::ReplicaStatus& status) const {
-  std::set<NodeId> hosts;
-  for (const PeerAddress& peer : this->addresses.All()) {
-    hosts.insert(peer.node);
-  }
-  for (const auto* members : {&status.membership.voters, &status.membership.learners}) {
-    for (const consensus::ReplicaId& member : *members) {
-      if (this->addresses.Find(member.node)) {
-        hosts.insert(member.node);
-      }
-    }
-  }
-  return hosts;
-}
-
 void GroupJoiner::StartRequest(const NodeId& host) {
   this->requests.Run([this, host] {
     Answer answer = this->Request(host);
--- a/src/control/group_joiner.h
+++ b/src/control/group_joiner.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "control/address_book.h"
+#include "control/control_hosts.h"
 #include "control/group_formation.h"
 #include "control/join_report.h"
 #include "control/join_schedule.h"
@@ -26,7 +27,7 @@
  public:
   /// The arguments must outlive the joiner.
   GroupJoiner(const ControlOptions& options, ReplicaRunner& replica, AddressBook& addresses,
-              const GroupFormation& formation);
+              const ControlHosts& hosts, const GroupFormation& formation);
   ~GroupJoiner() { this->Stop(); }
   GroupJoiner(const GroupJoiner&) = delete;
   GroupJoiner& operator=(const GroupJoiner&) = delete;
@@ -50,18 +51,18 @@
 
   Duration RunOnce();
   bool IsLeaderless(const consensus::ReplicaStatus& status);
-  std::set<NodeId> KnownHosts(const consensus::ReplicaStatus& status) const;
   /// Sends a request on a thread of the pool.
   void StartRequest(const NodeId& host);
   Answer Request(const NodeId& host);
   void TakeAnswers();
-  void LogRefusals(const consensus::ReplicaStatus& status, const std::set<NodeId>& hosts);
+  void LogRefusals(const consensus::ReplicaStatus& status, const std::set<NodeId>& known);
   /// Logs how long it took from the start to the membership and to the vote.
   void LogProgress(const consensus::ReplicaStatus& status);
 
   const ControlOptions& options;
   ReplicaRunner& replica;
   AddressBook& addresses;
+  const ControlHosts& hosts;
   const GroupFormation& formation;
   std::atomic<bool> retired = false;
   SystemClock clock;
--- a/test/control/fleet_view_test.cc
+++ b/test/control/fleet_view_test.cc
@@ -94,7 +94,8 @@
         return false;
       });
   live.asked = false;
-  FleetView view(nodes, addresses);
+  const ControlHosts hosts(addresses, [] { return consensus::ReplicaStatus(); });
+  FleetView view(nodes, addresses, hosts);
   CHECK(view.CollectReports().size() == 1);
   silent.WaitUntilGivenUp();
   CHECK(silent.event_when_given_up);
@@ -114,7 +115,8 @@
   }
   AddressBook addresses(peers, NodeCredentials("c-self", net::NodeRole::kControl));
   NodeRegistry nodes(NodeId("c-self"));
-  FleetView view(nodes, addresses);
+  const ControlHosts hosts(addresses, [] { return consensus::ReplicaStatus(); });
+  FleetView view(nodes, addresses, hosts);
   view.CollectReports();
   CHECK(first.asked);
   CHECK(last.asked);
