Net: a connection that was found broken never ends in order

A caller behind a sidecar could get a part of an answer as the whole: a server that answers an upload early, without a length, and resets the connection.

The system reports a broken connection to the first call only: a write, a read, or a peek. SocketStream keeps what any of them found, and its reads end as reset afterwards, with the bytes that came before.

--- a/include/masticrill/net/socket_stream.h
+++ b/include/masticrill/net/socket_stream.h
@@ -16,7 +16,7 @@
 /// How an operation on a connection ended.
 enum class IoEnd {
   kDone,
-  kClosed,  // The peer ended its side in order.
+  kClosed,  // The peer ended its side in order. Never after an operation found it broken.
   kReset,   // The connection broke.
   kTimeout,
   kWatchedLeft,  // The watched connection was closed by its peer meanwhile.
--- a/src/net/socket_stream.cc
+++ b/src/net/socket_stream.cc
@@ -45,10 +45,15 @@
   std::string buffer;
   std::size_t consumed = 0;
   bool open = true;
+  /// An operation has found the connection broken. The system reports that once, to whichever call
+  /// comes first; later reads end as if the peer had closed its side in order.
+  bool broken = false;
 };
 
 namespace {
 
+bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
+
 /// What a wait found.
 struct PollResult {
   bool ready = false;
@@ -56,22 +61,34 @@
   bool watched_left = false;
 };
 
+/// Peeks at one byte. Notes a broken connection.
+template <typename State>
+ssize_t Peek(State& state) {
+  char byte = 0;
+  const ssize_t count = ::recv(state.Descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  state.broken = state.broken || (count < 0 && !WouldBlock());
+  return count;
+}
+
 /// The peer of a watched connection has left when its end can be read. Bytes that it sent ahead
 /// say nothing, and are left alone.
-bool HasLeft(int descriptor) {
-  char byte = 0;
-  const ssize_t count = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+template <typename State>
+bool HasLeft(State& state) {
+  const ssize_t count = Peek(state);
+  return count == 0 || (count < 0 && !WouldBlock());
 }
 
-bool HasBytes(int descriptor) {
-  char byte = 0;
-  return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+template <typename State>
+bool HasBytes(State& state) {
+  return Peek(state) > 0;
 }
 
-PollResult PollOnce(int descriptor, short events, int watched, TimePoint deadline) {
-  std::array<pollfd, 2> descriptors{{{descriptor, events, 0}, {watched, POLLIN, 0}}};
-  const bool watch = watched >= 0 && !HasBytes(watched);
+/// Waits for events on a connection, and for the end of a watched one unless it is null.
+template <typename State>
+PollResult PollOnce(State& state, short events, State* watched, TimePoint deadline) {
+  const bool watch = watched != nullptr && !HasBytes(*watched);
+  std::array<pollfd, 2> descriptors{
+      {{state.Descriptor(), events, 0}, {watch ? watched->Descriptor() : -1, POLLIN, 0}}};
   const int ready = ::poll(descriptors.data(), watch ? 2 : 1, ToPollTimeout(deadline));
   PollResult result;
   if (ready <= 0) {
@@ -79,7 +96,7 @@
   }
   result.ready = descriptors[0].revents != 0;
   result.readable = (descriptors[0].revents & (POLLIN | POLLHUP | POLLERR)) != 0;
-  result.watched_left = watch && descriptors[1].revents != 0 && HasLeft(watched);
+  result.watched_left = watch && descriptors[1].revents != 0 && HasLeft(*watched);
   return result;
 }
 
@@ -103,10 +120,9 @@
     Poco::Net::StreamSocket socket;
     socket.connectNB(Poco::Net::SocketAddress(address));
     auto stream = std::make_unique<SocketStream>(socket);
-    const int descriptor = stream->state->Descriptor();
-    const int watched_descriptor = watched == nullptr ? -1 : watched->state->Descriptor();
+    State* const watched_state = watched == nullptr ? nullptr : watched->state.get();
     while (true) {
-      const PollResult result = PollOnce(descriptor, POLLOUT, watched_descriptor, deadline);
+      const PollResult result = PollOnce(*stream->state, POLLOUT, watched_state, deadline);
       if (result.watched_left) {
         end = IoEnd::kWatchedLeft;
         return nullptr;
@@ -139,7 +155,7 @@
     return IoEnd::kReset;
   }
   const int descriptor = this->state->Descriptor();
-  const int watched_descriptor = watched == nullptr ? -1 : watched->state->Descriptor();
+  State* const watched_state = watched == nullptr ? nullptr : watched->state.get();
   std::array<char, kReadBlockBytes> block{};
   while (true) {
     const ssize_t count = ::recv(descriptor, block.data(), block.size(), MSG_DONTWAIT);
@@ -150,12 +166,13 @@
       return IoEnd::kDone;
     }
     if (count == 0) {
-      return IoEnd::kClosed;
+      return this->state->broken ? IoEnd::kReset : IoEnd::kClosed;
     }
-    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    if (!WouldBlock()) {
+      this->state->broken = true;
       return IoEnd::kReset;
     }
-    const PollResult result = PollOnce(descriptor, POLLIN, watched_descriptor, deadline);
+    const PollResult result = PollOnce(*this->state, POLLIN, watched_state, deadline);
     if (result.ready) {
       continue;
     }
@@ -192,7 +209,7 @@
     return IoEnd::kReset;
   }
   const int descriptor = this->state->Descriptor();
-  const int watched_descriptor = watched == nullptr ? -1 : watched->state->Descriptor();
+  State* const watched_state = watched == nullptr ? nullptr : watched->state.get();
   const short events = static_cast<short>(stop_when_readable ? POLLOUT | POLLIN : POLLOUT);
   while (!data.empty()) {
     const ssize_t count = ::send(descriptor, data.data(), data.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -200,10 +217,11 @@
       data.remove_prefix(static_cast<std::size_t>(count));
       continue;
     }
-    if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    if (count < 0 && !WouldBlock()) {
+      this->state->broken = true;
       return IoEnd::kReset;
     }
-    const PollResult result = PollOnce(descriptor, events, watched_descriptor, deadline);
+    const PollResult result = PollOnce(*this->state, events, watched_state, deadline);
     if (stop_when_readable && result.readable) {
       return IoEnd::kReadable;
     }
@@ -217,16 +235,13 @@
   return IoEnd::kDone;
 }
 
-bool SocketStream::PeerLeft() const {
-  return !this->state->open || HasLeft(this->state->Descriptor());
-}
+bool SocketStream::PeerLeft() const { return !this->state->open || HasLeft(*this->state); }
 
 bool SocketStream::Readable() const {
   if (!this->Buffered().empty() || !this->state->open) {
     return true;
   }
-  const int descriptor = this->state->Descriptor();
-  return HasBytes(descriptor) || HasLeft(descriptor);
+  return HasBytes(*this->state) || HasLeft(*this->state);
 }
 
 void SocketStream::FinishWriting(TimePoint deadline) {
