Net: a status line has three digits

An answer whose status has more than three digits was taken for that of its first three: 2000 for 200. A status of 000 was refused before.

The digits now end at a space or at the end of the line.

--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -193,7 +193,8 @@
   const std::string_view line = TakeLine(block).value_or("");
   const std::string_view version = line.substr(0, kVersionBytes);
   const std::string_view rest = line.substr(version.size());
-  const std::string_view digits = rest.starts_with(' ') ? rest.substr(1, kStatusBytes) : "";
+  const std::string_view after_space = rest.starts_with(' ') ? rest.substr(1) : "";
+  const std::string_view digits = after_space.substr(0, after_space.find(' '));
   int status = 0;
   const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), status);
   if (!IsVersion(version) || digits.size() != kStatusBytes || error != std::errc() ||
--- a/test/net/http_message_test.cc
+++ b/test/net/http_message_test.cc
@@ -86,6 +86,21 @@
   }
 }
 
+// Guards against an answer of a server in trouble that is passed on under a status that it does not
+// have.
+TEST_CASE("a status that is not three digits from 100 to 599 is refused") {
+  for (const std::string status : {"000", "099", "600", "999", "20", "2", "2000", "200.", "+20",
+                                   "-20", "-200", " 200", "0x1", "2 0", "", " ", "200\t"}) {
+    CAPTURE(status);
+    CHECK_FALSE(ReadAnswer("HTTP/1.1 " + status + " Reason\r\n\r\n"));
+    CHECK_FALSE(ReadAnswer("HTTP/1.1 " + status + "\r\n\r\n"));
+  }
+  for (const std::string line : {"100", "101 ", "200 ", "599 Any  reason", "200 2000"}) {
+    CAPTURE(line);
+    CHECK(ReadAnswer("HTTP/1.1 " + line + "\r\n\r\n"));
+  }
+}
+
 // Guards against a head that ends for its reader before the empty line with which it ends on the
 // connection: the fields behind that place, the length among them, were dropped.
 TEST_CASE("a head with a bare line feed or anything behind its empty line is refused") {
