--- a/test/fakes/early_server.h
+++ b/test/fakes/early_server.h
@@ -41,7 +41,7 @@
       Poco::Net::StreamSocket socket = this->listener.acceptConnection();
       socket.sendBytes(this->answer.data(), static_cast<int>(this->answer.size()));
       // The reset comes at different places of the upload.
-      socket.poll(Poco::Timespan(0, call++ % this->delay_steps * 100),
+      socket.poll(Poco::Timespan(0, 100L * (call++ % this->delay_steps)),
                   Poco::Net::Socket::SELECT_ERROR);
       Reset(socket);
     }
