Tests: an early server waits for the first bytes of a request

Beside a load of 20 on 8 cores some calls of early_answer_test ended as not connected, which is true: the server had reset the connection before the client's connect had ended. Nothing had been sent, and no answer was told. The server now waits for the first bytes, so that each call meets the reset during its upload; the checks are the same.

--- a/test/fakes/early_server.h
+++ b/test/fakes/early_server.h
@@ -18,7 +18,7 @@
   socket.close();
 }
 
-/// Answers each connection at once, whatever it sends, and resets it some time later.
+/// Answers the first bytes of each connection, whatever they are, and resets it some time later.
 class EarlyServer {
  public:
   EarlyServer(std::string answer, int delay_steps)
@@ -39,6 +39,8 @@
         continue;
       }
       Poco::Net::StreamSocket socket = this->listener.acceptConnection();
+      // A reset before the first byte of the request may come to the client's connect.
+      socket.poll(Poco::Timespan(10, 0), Poco::Net::Socket::SELECT_READ);
       socket.sendBytes(this->answer.data(), static_cast<int>(this->answer.size()));
       // The reset comes at different places of the upload.
       socket.poll(Poco::Timespan(0, 100L * (call++ % this->delay_steps)),
