--- a/review/harness_3.h
+++ b/review/harness_3.h
@@ -533,22 +533,23 @@
   return ntohs(at.sin_port);
 }
 
-/// The machines of a deployment: 127.0.0.11 and up. The first ones have a disk and serve control; all
-/// run an entry.
+/// The machines of a deployment: 127.0.0.11 and up. The first ones have a disk and serve control, the next
+/// ones serve control without a disk; all run an entry.
 class Deployment {
  public:
-  Deployment(std::string folder, int machines, int control_machines, std::string list_address,
-             std::string more_settings = "")
+  Deployment(std::string folder, int machines, int core_machines, int observers,
+             std::string list_address, std::string more_settings = "")
       : folder(std::move(folder)),
         machines(machines),
-        control_machines(control_machines),
+        core_machines(core_machines),
+        control_machines(core_machines + observers),
         list_address(std::move(list_address)),
         more_settings(std::move(more_settings)),
         front(FreePort()),
         ready(FreePort()),
         operators(FreePort()),
         internal(FreePort()),
-        controls(static_cast<std::size_t>(control_machines)),
+        controls(static_cast<std::size_t>(core_machines + observers)),
         entries(static_cast<std::size_t>(machines)) {}
 
   static std::string Ip(int machine) { return "127.0.0." + std::to_string(11 + machine); }
@@ -609,11 +610,11 @@
     const std::string name = role + std::to_string(machine);
     const std::string path = this->folder + "/" + name + ".conf";
     std::string seeds;
-    for (int seed = 0; seed < std::min(this->control_machines, 3); ++seed) {
+    for (int seed = 0; seed < std::min(this->core_machines, 3); ++seed) {
       seeds += (seed == 0 ? "" : ",") + this->Control(seed);
     }
     const std::string temporary = this->folder + "/tmp-" + name;
-    const bool has_disk = role == "control";
+    const bool serves_control = role == "control";
     std::string text = "NodeName=front-" + std::to_string(machine) + "\nRole=" + role +
                        "\nMachineClass=front\nIp=" + Ip(machine) +
                        "\nZone=north\nRegion=land\nZones.north=land\nInternalPorts=" +
@@ -636,9 +637,11 @@
                        "Bounds.SessionS=5\nConfigMode=highest\nCloudApi.Address=" +
                        this->list_address + "\nCloudApi.RatePerS=42.0\nCloudApi.LagMs=800\n" +
                        this->more_settings;
-    if (has_disk) {
-      text += "Serves=control\nListen.Control=" + this->Control(machine) +
-              "\nDataDir=" + this->folder + "/data-" + name + "\n";
+    if (serves_control) {
+      text += "Serves=control\nListen.Control=" + this->Control(machine) + "\n";
+      if (machine < this->core_machines) {
+        text += "DataDir=" + this->folder + "/data-" + name + "\n";
+      }
     } else {
       text += "Serves=front\nListen.Front=" + this->Front(machine) +
               "\nListen.Ready=" + this->Ready(machine) + "\n";
@@ -659,6 +662,7 @@
 
   std::string folder;
   int machines;
+  int core_machines;
   int control_machines;
   std::string list_address;
   std::string more_settings;
