--- a/review/harness_3.h
+++ b/review/harness_3.h
@@ -349,12 +349,15 @@
   int slots = 64;
   std::string state = "ready";
   std::int64_t cold_ms = 0;
+  /// The Unix millisecond of its start; left out if 0.
+  std::int64_t born = 0;
 
   std::string Json() const {
     return "{\"Id\":\"" + this->id + "\",\"Service\":\"" + this->service + "\",\"Address\":\"" +
            this->address + "\",\"Zone\":\"" + this->zone + "\",\"Version\":\"" + this->version +
            "\",\"Slots\":" + std::to_string(this->slots) + ",\"State\":\"" + this->state +
-           "\",\"ColdRemainingMs\":" + std::to_string(this->cold_ms) + "}";
+           "\",\"ColdRemainingMs\":" + std::to_string(this->cold_ms) +
+           (this->born == 0 ? "" : ",\"born\":" + std::to_string(this->born)) + "}";
   }
 };
 
@@ -675,6 +678,64 @@
   std::vector<std::unique_ptr<Child>> entries;
 };
 
+/// Clients that send requests to all machines at a constant rate, each on a connection of its own, and do not
+/// wait for one answer before they send the next request. The time of sending stands behind the @ of the id.
+class Traffic {
+ public:
+  Traffic(const Deployment& deployment, int machines, double per_machine_s, double for_s, Call call,
+          Record& record)
+      : start(Now()) {
+    for (int machine = 0; machine < machines; ++machine) {
+      this->senders.emplace_back([this, &deployment, &record, call, machine, machines, per_machine_s, for_s] {
+        for (int number = 0;; ++number) {
+          const double due =
+              this->start + (number + machine / static_cast<double>(machines)) / per_machine_s;
+          if (due > this->start + for_s) {
+            return;
+          }
+          Sleep(due - Now());
+          ++this->open;
+          std::thread([this, &deployment, &record, call, machine, number]() mutable {
+            const std::string id = "m" + std::to_string(machine) + "-" + std::to_string(number) + "@" +
+                                   std::to_string(Now());
+            call.fields.emplace_back("X-Request-Id", id);
+            record.Line("client sends " + id);
+            const Answer answer = Ask(deployment.Front(machine), call, 2);
+            const int status = answer.complete ? answer.status : 0;
+            record.Line("client gets " + std::to_string(status) + " for " + id);
+            {
+              const std::scoped_lock lock(this->mutex);
+              ++this->statuses[status];
+            }
+            --this->open;
+          }).detach();
+        }
+      });
+    }
+  }
+
+  double Start() const { return this->start; }
+  static double SentAt(const std::string& id) { return std::stod(id.substr(id.find('@') + 1)); }
+
+  /// Waits for the last answer. Returns how many requests ended with each status; 0 for those without an answer.
+  std::map<int, int> Finish() {
+    for (std::thread& sender : this->senders) {
+      sender.join();
+    }
+    while (this->open > 0) {
+      Sleep(0.05);
+    }
+    return this->statuses;
+  }
+
+ private:
+  double start;
+  std::atomic<int> open = 0;
+  std::mutex mutex;
+  std::map<int, int> statuses;
+  std::vector<std::thread> senders;
+};
+
 }  // namespace review3
 
 #endif  // REVIEW_HARNESS_3_H_
