--- a/review/harness_3.h
+++ b/review/harness_3.h
@@ -541,13 +541,13 @@
 class Deployment {
  public:
   Deployment(std::string folder, int machines, int core_machines, int observers,
-             std::string list_address, std::string more_settings = "")
+             std::string list_address, std::vector<std::string> zones = {"north"})
       : folder(std::move(folder)),
         machines(machines),
         core_machines(core_machines),
         control_machines(core_machines + observers),
         list_address(std::move(list_address)),
-        more_settings(std::move(more_settings)),
+        zones(std::move(zones)),
         front(FreePort()),
         ready(FreePort()),
         operators(FreePort()),
@@ -618,9 +618,13 @@
     }
     const std::string temporary = this->folder + "/tmp-" + name;
     const bool serves_control = role == "control";
+    std::string zone_lines = "\nZone=" + this->zones[static_cast<std::size_t>(machine) % this->zones.size()] +
+                             "\nRegion=land\n";
+    for (const std::string& zone : this->zones) {
+      zone_lines += "Zones." + zone + "=land\n";
+    }
     std::string text = "NodeName=front-" + std::to_string(machine) + "\nRole=" + role +
-                       "\nMachineClass=front\nIp=" + Ip(machine) +
-                       "\nZone=north\nRegion=land\nZones.north=land\nInternalPorts=" +
+                       "\nMachineClass=front\nIp=" + Ip(machine) + zone_lines + "InternalPorts=" +
                        std::to_string(this->internal) + "," + std::to_string(this->internal) +
                        "\nSeeds=" + seeds +
                        "\nBootstrap=" + (this->is_first_start ? "true" : "false") +
@@ -638,8 +642,7 @@
                        "Bounds.ColdMultiplier=1.5\nBounds.ColdSlack=5\nBounds.EvacuateMs=5000\n"
                        "Bounds.RecoveryS=12\nBounds.PassMs=120\nBounds.ReuseWindowS=7.4\n"
                        "Bounds.SessionS=5\nConfigMode=highest\nCloudApi.Address=" +
-                       this->list_address + "\nCloudApi.RatePerS=42.0\nCloudApi.LagMs=800\n" +
-                       this->more_settings;
+                       this->list_address + "\nCloudApi.RatePerS=42.0\nCloudApi.LagMs=800\n";
     if (serves_control) {
       text += "Serves=control\nListen.Control=" + this->Control(machine) + "\n";
       if (machine < this->core_machines) {
@@ -668,7 +671,7 @@
   int core_machines;
   int control_machines;
   std::string list_address;
-  std::string more_settings;
+  std::vector<std::string> zones;
   std::uint16_t front;
   std::uint16_t ready;
   std::uint16_t operators;
