--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -9,7 +9,7 @@
 constexpr int kMachines = 7;
 constexpr int kCoreMachines = 3;
 constexpr int kObservers = 3;
-constexpr int kPerMachine = 20;  // Requests a second that clients send to each machine.
+constexpr int kPerMachine = 30;  // Requests a second that clients send to each machine.
 constexpr double kLagS = 0.8;    // LagMs
 constexpr double kColdStartS = 3.0;
 constexpr double kColdPerS = 12.0;
@@ -18,7 +18,7 @@
 constexpr std::size_t kCrashPerS = 36;
 constexpr double kWorkS = 0.03;
 constexpr double kEvacuatedAt = 3.0;
-constexpr double kColdAt = 9.5;
+constexpr double kColdAt = 9.7;
 constexpr double kTakenBackAt = 10.0;
 constexpr double kEnd = 16.0;
 
