--- a/review/harness_3.h
+++ b/review/harness_3.h
@@ -686,10 +686,10 @@
 class Traffic {
  public:
   Traffic(const Deployment& deployment, int machines, double per_machine_s, double for_s, Call call,
-          Record& record)
+          Record& record, double patience_s = 2)
       : start(Now()) {
     for (int machine = 0; machine < machines; ++machine) {
-      this->senders.emplace_back([this, &deployment, &record, call, machine, machines, per_machine_s, for_s] {
+      this->senders.emplace_back([this, &deployment, &record, call, machine, machines, per_machine_s, for_s, patience_s] {
         for (int number = 0;; ++number) {
           const double due =
               this->start + (number + machine / static_cast<double>(machines)) / per_machine_s;
@@ -698,12 +698,12 @@
           }
           Sleep(due - Now());
           ++this->open;
-          std::thread([this, &deployment, &record, call, machine, number]() mutable {
+          std::thread([this, &deployment, &record, call, machine, number, patience_s]() mutable {
             const std::string id = "m" + std::to_string(machine) + "-" + std::to_string(number) + "@" +
                                    std::to_string(Now());
             call.fields.emplace_back("X-Request-Id", id);
             record.Line("client sends " + id);
-            const Answer answer = Ask(deployment.Front(machine), call, 2);
+            const Answer answer = Ask(deployment.Front(machine), call, patience_s);
             const int status = answer.complete ? answer.status : 0;
             record.Line("client gets " + std::to_string(status) + " for " + id);
             {
