--- a/review/harness_3.h
+++ b/review/harness_3.h
@@ -568,6 +568,8 @@
   void StartEntry(int machine) {
     this->entries.at(static_cast<std::size_t>(machine)) = this->Start(machine, "entry");
   }
+  /// From now on processes start with the settings of a later start.
+  void EndFirstStart() { this->is_first_start = false; }
   void StartAll() {
     for (int machine = 0; machine < this->control_machines; ++machine) {
       this->StartControl(machine);
@@ -575,7 +577,7 @@
     for (int machine = 0; machine < this->machines; ++machine) {
       this->StartEntry(machine);
     }
-    this->is_first_start = false;
+    this->EndFirstStart();
   }
   Child& ControlOf(int machine) { return *this->controls.at(static_cast<std::size_t>(machine)); }
   Child& EntryOf(int machine) { return *this->entries.at(static_cast<std::size_t>(machine)); }
