--- a/review/harness_3.h
+++ b/review/harness_3.h
@@ -1,5 +1,6 @@
-// Stand-ins of the third review: a platform's list of workers, workers, clients and an operator, all on
-// loopback addresses, and the project's own programs as child processes. Plain POSIX, no dependency.
+// Stand-ins of the third review: a platform's list of workers, workers, clients and an operator,
+// all on loopback addresses, and the project's own programs as child processes. Plain POSIX, no
+// dependency.
 #ifndef REVIEW_HARNESS_3_H_
 #define REVIEW_HARNESS_3_H_
 
@@ -536,8 +537,8 @@
   return ntohs(at.sin_port);
 }
 
-/// The machines of a deployment: 127.0.0.11 and up. The first ones have a disk and serve control, the next
-/// ones serve control without a disk; all run an entry.
+/// The machines of a deployment: 127.0.0.11 and up. The first ones have a disk and serve control,
+/// the next ones serve control without a disk; all run an entry.
 class Deployment {
  public:
   Deployment(std::string folder, int machines, int core_machines, int observers,
@@ -620,15 +621,16 @@
     }
     const std::string temporary = this->folder + "/tmp-" + name;
     const bool serves_control = role == "control";
-    std::string zone_lines = "\nZone=" + this->zones[static_cast<std::size_t>(machine) % this->zones.size()] +
-                             "\nRegion=land\n";
+    std::string zone_lines =
+        "\nZone=" + this->zones[static_cast<std::size_t>(machine) % this->zones.size()] +
+        "\nRegion=land\n";
     for (const std::string& zone : this->zones) {
       zone_lines += "Zones." + zone + "=land\n";
     }
     std::string text = "NodeName=front-" + std::to_string(machine) + "\nRole=" + role +
-                       "\nMachineClass=front\nIp=" + Ip(machine) + zone_lines + "InternalPorts=" +
-                       std::to_string(this->internal) + "," + std::to_string(this->internal) +
-                       "\nSeeds=" + seeds +
+                       "\nMachineClass=front\nIp=" + Ip(machine) + zone_lines +
+                       "InternalPorts=" + std::to_string(this->internal) + "," +
+                       std::to_string(this->internal) + "\nSeeds=" + seeds +
                        "\nBootstrap=" + (this->is_first_start ? "true" : "false") +
                        "\nInTolerance=true\nLimits.CpuShare=0.45\nLimits.Cores=1\n"
                        "Limits.MemoryMb=110\nLimits.MaxFds=4100\nLimits.LinkMbps=1000.0\n"
@@ -683,15 +685,17 @@
   std::vector<std::unique_ptr<Child>> entries;
 };
 
-/// Clients that send requests to all machines at a constant rate, each on a connection of its own, and do not
-/// wait for one answer before they send the next request. The time of sending stands behind the @ of the id.
+/// Clients that send requests to all machines at a constant rate, each on a connection of its own,
+/// and do not wait for one answer before they send the next request. The time of sending stands
+/// behind the @ of the id.
 class Traffic {
  public:
   Traffic(const Deployment& deployment, int machines, double per_machine_s, double for_s, Call call,
           Record& record, double patience_s = 2)
       : start(Now()) {
     for (int machine = 0; machine < machines; ++machine) {
-      this->senders.emplace_back([this, &deployment, &record, call, machine, machines, per_machine_s, for_s, patience_s] {
+      this->senders.emplace_back([this, &deployment, &record, call, machine, machines,
+                                  per_machine_s, for_s, patience_s] {
         for (int number = 0;; ++number) {
           const double due =
               this->start + (number + machine / static_cast<double>(machines)) / per_machine_s;
@@ -701,8 +705,8 @@
           Sleep(due - Now());
           ++this->open;
           std::thread([this, &deployment, &record, call, machine, number, patience_s]() mutable {
-            const std::string id = "m" + std::to_string(machine) + "-" + std::to_string(number) + "@" +
-                                   std::to_string(Now());
+            const std::string id = "m" + std::to_string(machine) + "-" + std::to_string(number) +
+                                   "@" + std::to_string(Now());
             call.fields.emplace_back("X-Request-Id", id);
             record.Line("client sends " + id);
             const Answer answer = Ask(deployment.Front(machine), call, patience_s);
@@ -722,7 +726,8 @@
   double Start() const { return this->start; }
   static double SentAt(const std::string& id) { return std::stod(id.substr(id.find('@') + 1)); }
 
-  /// Waits for the last answer. Returns how many requests ended with each status; 0 for those without an answer.
+  /// Waits for the last answer. Returns how many requests ended with each status; 0 for those
+  /// without an answer.
   std::map<int, int> Finish() {
     for (std::thread& sender : this->senders) {
       sender.join();
